--- /dev/null
+++ b/cmake/module.cmake
@@ -0,0 +1,37 @@
+# Compiler and linker flags shared by all targets.
+add_library(sycamore_options INTERFACE)
+target_compile_options(sycamore_options INTERFACE -Wall -Wextra -Wpedantic -Werror)
+target_compile_definitions(sycamore_options INTERFACE BOOST_TEST_DYN_LINK BOOST_ASIO_NO_DEPRECATED)
+target_link_libraries(sycamore_options INTERFACE Threads::Threads fmt::fmt)
+if(SYCAMORE_TSAN)
+  target_compile_options(sycamore_options INTERFACE -fsanitize=thread -Wno-tsan)
+  target_link_options(sycamore_options INTERFACE -fsanitize=thread)
+endif()
+
+# sycamore_module(NAME [DEPS ...]): a static library from include/ and src/.
+function(sycamore_module name)
+  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
+  add_library(sycamore_${name} STATIC ${sources})
+  target_include_directories(sycamore_${name} PUBLIC ${CMAKE_CURRENT_SOURCE_DIR}/include)
+  target_link_libraries(sycamore_${name} PUBLIC sycamore_options ${ARG_DEPS})
+endfunction()
+
+# sycamore_tests(NAME [DEPS ...] [LABELS ...] [TIMEOUT seconds]): one Boost.Test binary from
+# tests/*.cpp, registered with CTest under NAME. Label "concurrency" selects the tests that also run
+# under the thread sanitizer; label "failure" the tests that start processes.
+function(sycamore_tests name)
+  cmake_parse_arguments(ARG "" "TIMEOUT" "DEPS;LABELS;SOURCES" ${ARGN})
+  if(ARG_SOURCES)
+    set(sources ${ARG_SOURCES})
+  else()
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
+  endif()
+  if(NOT ARG_TIMEOUT)
+    set(ARG_TIMEOUT 120)
+  endif()
+  add_executable(${name}_tests ${sources})
+  target_link_libraries(${name}_tests PRIVATE sycamore_options Boost::unit_test_framework ${ARG_DEPS})
+  add_test(NAME ${name} COMMAND ${name}_tests --log_level=test_suite)
+  set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}")
+endfunction()
--- /dev/null
+++ b/modules/ledger/include/sycamore/ledger/ledger_event.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "sycamore/base/result.h"
+#include "sycamore/ledger/partition_state.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sycamore::ledger {
+
+// A partition was read up to the head of its stream. Answers Ledger::Open.
+struct PartitionOpened
+{
+  std::shared_ptr<PartitionState> mState;
+};
+
+// A batch that follows the last one reported for its partition, of this writer or another. The
+// receiver folds it. mTickets are those of the entries of this process's own batch.
+struct BatchRead
+{
+  uint32_t mPartition = 0;
+  uint64_t mOffset = 0;
+  std::shared_ptr<const wire::LogBatchT> mBatch;
+  std::vector<uint64_t> mTickets;
+};
+
+// Appends or reads of the partition fail at present; entries are kept and tried again.
+struct LogTrouble
+{
+  uint32_t mPartition = 0;
+  std::string mMessage;
+};
+
+// The answer to Ledger::ReadTurn.
+struct TurnRead
+{
+  uint64_t mTicket = 0;
+  base::Result<wire::LogTurnT> mTurn;
+};
+
+using LedgerEvent = std::variant<PartitionOpened, BatchRead, LogTrouble, TurnRead>;
+
+}
