Add the policy functions of the entry and parts of its core (not yet assembled)

The entry decides admission, limits, routing and retries by pure functions; its core is built from small classes. Nothing is assembled or measured yet.

--- /dev/null
+++ b/modules/entry/src/answers.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "context.h"
+#include "reply_to.h"
+#include "sycamore/base/error.h"
+#include "sycamore/http/response_part.h"
+
+#include <boost/json/value.hpp>
+#include <cstddef>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace sycamore::entry {
+
+// The JSON text of an error answer. aRun replaces the run state of the answer table if given.
+std::string
+ErrorBody(const base::Error& aError, std::optional<base::RunState> aRun = std::nullopt);
+
+// Sends answers to open requests, local or forwarded. A part for a request that is not open is
+// dropped, so a request is answered completely at most once.
+class Answers
+{
+public:
+  explicit Answers(Context& aContext);
+
+  void Open(const ReplyTo& aReply);
+  bool IsOpen(const ReplyTo& aReply) const;
+
+  // The caller has gone.
+  void Close(const ReplyTo& aReply);
+
+  // A link to another entry has gone; its requests are closed.
+  void CloseLink(transport::LinkId aLink);
+
+  // Number of requests received and not yet answered completely.
+  size_t OpenCount() const { return mOpen.size(); }
+
+  // Sends a part; mRequest of aPart is filled in.
+  void Send(const ReplyTo& aReply, http::ResponsePart aPart);
+
+  // A complete JSON answer.
+  void Json(const ReplyTo& aReply, int aStatus, const boost::json::value& aBody);
+
+  // A complete error answer.
+  void Fail(const ReplyTo& aReply,
+            const base::Error& aError,
+            std::optional<base::RunState> aRun = std::nullopt,
+            base::Millis aRetryAfter = base::Millis{ 0 });
+
+private:
+  Context& mContext;
+  std::set<ReplyTo> mOpen;
+};
+
+}
--- /dev/null
+++ b/modules/entry/src/call.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "call_life.h"
+#include "call_request.h"
+#include "event_buffer.h"
+#include "reply_to.h"
+#include "router.h"
+#include "sycamore/base/program_id.h"
+#include "turn_text.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sycamore::entry {
+
+// A caller that waits for a call.
+struct Waiter
+{
+  ReplyTo mReply;
+  bool mStream = false;
+  bool mStarted = false; // The first part was sent.
+  bool mReset = false;   // A reset event goes first.
+  size_t mNext = 0;      // Index of the next event to send.
+  base::TimePoint mDeadline;
+};
+
+// One dispatch of a call.
+struct Attempt
+{
+  uint32_t mNumber = 0; // 0 for a non-idempotent call.
+  Route mRoute;
+  uint32_t mNextToken = 0; // Index of the next token.
+  std::string mText;       // Passed on so far.
+  bool mGap = false;       // A token was missed; the rest comes with the outcome.
+  bool mSeal = false;      // Found in the log: sealed, not looked up.
+  base::TimePoint mLostAt; // When the connection was lost.
+};
+
+// A call at its owner, from its acceptance to the fold of its record.
+struct Call
+{
+  Call(const base::ProgramId& aProgram, CallRequest aRequest, uint64_t aEpoch, CallPhase aStart)
+    : mProgram(aProgram)
+    , mRequest(std::move(aRequest))
+    , mEpoch(aEpoch)
+    , mLife(aStart)
+    , mEvents(aEpoch)
+  {
+  }
+
+  bool IsModel() const { return mRequest.mKind == wire::CallKind::Model; }
+
+  base::ProgramId mProgram;
+  CallRequest mRequest;
+  uint64_t mEpoch;
+  CallLife mLife;
+  EventBuffer mEvents;
+  std::vector<Waiter> mWaiters;
+  base::TimePoint mDeadline;
+  base::TimePoint mReadySince;
+
+  // Admission.
+  std::string mRow; // Empty if the call was not admitted here.
+  uint64_t mAdmittedTokens = 0;
+
+  // Budget.
+  std::string mPrompt; // Messages of the whole prompt, separated by commas.
+  uint64_t mPromptTokens = 0; // Upper bound.
+  uint64_t mNeed = 0;         // Reservation needed by one attempt.
+  uint64_t mCharged = 0;      // Tokens that earlier attempts may have used.
+
+  Attempt mAttempt;
+  bool mDispatched = false;         // Some attempt may have reached a target.
+  std::set<std::string> mExcluded; // Targets not to be tried again.
+  base::Error mLastError{ base::ErrorKind::NoTarget, "no target of the service is available", "" };
+
+  // The result, once known.
+  std::shared_ptr<const TurnText> mResult; // Of a Turn, or an answered outcome.
+  std::optional<wire::LogOutcomeKind> mOutcome;
+  uint64_t mUsedTokens = 0;
+  bool mAppended = false; // The record of the result is with the ledger.
+};
+
+}
--- /dev/null
+++ b/modules/entry/src/call_book.cpp
@@ -0,0 +1,106 @@
+#include "call_book.h"
+
+#include <cassert>
+#include <utility>
+#include <vector>
+
+namespace sycamore::entry {
+
+Call&
+CallBook::Add(std::unique_ptr<Call> aCall)
+{
+  const Key key{ aCall->mProgram, aCall->mRequest.mSeq };
+  const auto [found, added] = mCalls.emplace(key, std::move(aCall));
+  assert(added);
+  return *found->second;
+}
+
+Call*
+CallBook::Find(const base::ProgramId& aProgram, uint32_t aSeq)
+{
+  const auto found = mCalls.find({ aProgram, aSeq });
+  return found == mCalls.end() ? nullptr : found->second.get();
+}
+
+Call*
+CallBook::FindKey(const base::ProgramId& aProgram, const std::string& aKey)
+{
+  Call* match = nullptr;
+  ForEachOf(aProgram, [&](Call& aCall) {
+    if (aCall.mRequest.mKey == aKey) {
+      match = &aCall;
+    }
+  });
+  return match;
+}
+
+void
+CallBook::Remove(const base::ProgramId& aProgram, uint32_t aSeq)
+{
+  mCalls.erase({ aProgram, aSeq });
+}
+
+void
+CallBook::ForEach(const std::function<void(Call&)>& aFunction)
+{
+  std::vector<Key> keys;
+  keys.reserve(mCalls.size());
+  for (const auto& [key, call] : mCalls) {
+    keys.push_back(key);
+  }
+  for (const Key& key : keys) {
+    if (Call* call = Find(key.first, key.second)) {
+      aFunction(*call);
+    }
+  }
+}
+
+void
+CallBook::ForEachOf(const base::ProgramId& aProgram, const std::function<void(Call&)>& aFunction)
+{
+  std::vector<uint32_t> seqs;
+  for (auto it = mCalls.lower_bound({ aProgram, 0 });
+       it != mCalls.end() && it->first.first == aProgram;
+       ++it) {
+    seqs.push_back(it->first.second);
+  }
+  for (const uint32_t seq : seqs) {
+    if (Call* call = Find(aProgram, seq)) {
+      aFunction(*call);
+    }
+  }
+}
+
+// A call whose outcome is recorded as unknown has been answered; it only waits for a better one.
+static bool
+IsInFlight(const Call& aCall)
+{
+  return aCall.mOutcome != wire::LogOutcomeKind::Unknown ||
+         aCall.mLife.Phase() == CallPhase::Committing;
+}
+
+bool
+CallBook::AnyInFlight(uint32_t aPartition) const
+{
+  auto it = mCalls.lower_bound({ base::ProgramId{ aPartition, 0, 0 }, 0 });
+  for (; it != mCalls.end() && it->first.first.mPartition == aPartition; ++it) {
+    if (IsInFlight(*it->second)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+CallBook::AnyInFlight(const base::ProgramId& aProgram) const
+{
+  auto it = mCalls.lower_bound({ aProgram, 0 });
+  for (; it != mCalls.end() && it->first.first == aProgram; ++it) {
+    if (IsInFlight(*it->second)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}
--- /dev/null
+++ b/modules/entry/src/call_book.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "call.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sycamore::entry {
+
+// The calls in progress, by program and sequence number.
+class CallBook
+{
+public:
+  Call& Add(std::unique_ptr<Call> aCall);
+
+  // Null if there is none.
+  Call* Find(const base::ProgramId& aProgram, uint32_t aSeq);
+  Call* FindKey(const base::ProgramId& aProgram, const std::string& aKey);
+
+  void Remove(const base::ProgramId& aProgram, uint32_t aSeq);
+
+  // Calls aFunction for each call; it may remove calls.
+  void ForEach(const std::function<void(Call&)>& aFunction);
+  void ForEachOf(const base::ProgramId& aProgram, const std::function<void(Call&)>& aFunction);
+
+  size_t Size() const { return mCalls.size(); }
+
+  // Whether a call of aPartition is in progress, calls that only wait for a better outcome excluded.
+  bool AnyInFlight(uint32_t aPartition) const;
+  bool AnyInFlight(const base::ProgramId& aProgram) const;
+
+private:
+  using Key = std::pair<base::ProgramId, uint32_t>;
+
+  std::map<Key, std::unique_ptr<Call>> mCalls;
+};
+
+}
--- /dev/null
+++ b/modules/entry/src/commits.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "context.h"
+#include "sycamore/ledger/fold.h"
+#include "sycamore/ledger/ledger_event.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+namespace sycamore::entry {
+
+enum class CommitResult : uint8_t
+{
+  Accepted, // The fold accepted the record.
+  Lost,     // The fold ignored it, or ownership was lost; it may still be in the log, ignored.
+};
+
+// Records appended by this entry whose fold is awaited. Each is reported exactly once.
+class Commits
+{
+public:
+  // Called after the fold; the offset is that of the batch.
+  using Done = std::function<void(CommitResult, uint64_t)>;
+
+  explicit Commits(Context& aContext);
+
+  // Queues a record; returns false, without reporting, if the ledger has no room.
+  bool Append(uint32_t aPartition, wire::LogEntryT aEntry, Done aDone);
+
+  // Queues a claim under the same rules.
+  bool Claim(uint32_t aPartition, wire::LogClaimT aClaim, Done aDone);
+
+  // Reports the records of a folded batch.
+  void OnFolded(const ledger::BatchRead& aBatch, ledger::Verdict aVerdict);
+
+  // Reports all outstanding records of aPartition as lost.
+  void Lose(uint32_t aPartition);
+
+  // Whether a record of aPartition is outstanding.
+  bool AnyOutstanding(uint32_t aPartition) const;
+
+private:
+  struct Waiting
+  {
+    uint32_t mPartition = 0;
+    Done mDone;
+  };
+
+  Context& mContext;
+  uint64_t mNextTicket = 1;
+  std::map<uint64_t, Waiting> mWaiting;
+};
+
+}
--- /dev/null
+++ b/modules/entry/src/context.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "sycamore/base/clock.h"
+#include "sycamore/entry/effects.h"
+#include "sycamore/settings/settings.h"
+#include "stats.h"
+
+#include <cstdint>
+#include <string>
+
+namespace sycamore::entry {
+
+// What all parts of the core share.
+struct Context
+{
+  const settings::Settings& mSettings;
+  Effects& mEffects;
+  uint64_t mIncarnation = 0;
+  std::string mPeerAddress;
+  base::TimePoint mStarted;
+  base::TimePoint mNow;
+  bool mDraining = false;
+  Stats mStats;
+};
+
+}
--- /dev/null
+++ b/modules/entry/src/delivery.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "answers.h"
+#include "call.h"
+
+#include <optional>
+#include <string>
+
+namespace sycamore::entry {
+
+// Passes events and results of calls to the callers that wait for them.
+class Delivery
+{
+public:
+  explicit Delivery(Answers& aAnswers);
+
+  // Adds a caller and sends it the events so far from where aLastEventId ends.
+  void Attach(Call& aCall, Waiter aWaiter, const std::string& aLastEventId);
+
+  // Numbers an event and sends it to all streams.
+  void Event(Call& aCall, std::string_view aName, std::string_view aData);
+
+  // Answers all callers with the committed result and removes them.
+  void Done(Call& aCall, const TurnText& aResult);
+
+  // Answers all callers with an error and removes them. aRun replaces the error's run state.
+  void Fail(Call& aCall, const base::Error& aError, std::optional<base::RunState> aRun = {});
+
+  // Answers the callers whose deadline has passed.
+  void FailLate(Call& aCall,
+                base::TimePoint aNow,
+                const base::Error& aError,
+                std::optional<base::RunState> aRun);
+
+  // Answers a request for a call that was committed before.
+  void Replay(const ReplyTo& aReply, const TurnText& aResult, bool aStream, bool aReset);
+
+private:
+  void Flush(Call& aCall, Waiter& aWaiter, bool aLast);
+  void FailOne(Call& aCall,
+               Waiter& aWaiter,
+               const base::Error& aError,
+               std::optional<base::RunState> aRun);
+
+  Answers& mAnswers;
+};
+
+}
--- /dev/null
+++ b/modules/entry/src/forwarder.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "answers.h"
+#include "context.h"
+#include "incoming.h"
+#include "partition_map.h"
+#include "peers.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace sycamore::entry {
+
+// Hands requests to the owners of their partitions and passes the answers back. Requests for a
+// partition without a known owner wait here for a while.
+class Forwarder
+{
+public:
+  Forwarder(Context& aContext, Answers& aAnswers, Peers& aPeers, PartitionMap& aPartitions);
+
+  // Sends aIncoming to the owner of aPartition, which is not this entry.
+  void Forward(Incoming aIncoming, uint32_t aPartition);
+
+  // The requests that wait for aPartition and are to be handled again.
+  std::deque<Incoming> TakeParked(uint32_t aPartition);
+
+  void OnPart(transport::LinkId aLink, const wire::ForwardPartT& aPart);
+  void OnLinkLost(transport::LinkId aLink);
+
+  // The caller of aReply has gone.
+  void OnClosed(const ReplyTo& aReply);
+
+  // Answers what has waited too long.
+  void OnTick();
+
+  size_t ParkedCount() const;
+  size_t SentCount() const { return mSent.size(); }
+
+private:
+  struct Sent
+  {
+    ReplyTo mReply;
+    transport::LinkId mLink = 0;
+    bool mStarted = false; // The first part was passed on.
+    bool mStream = false;
+    base::TimePoint mDeadline;
+  };
+
+  struct Parked
+  {
+    Incoming mIncoming;
+    base::TimePoint mUntil;
+  };
+
+  void Park(Incoming aIncoming, uint32_t aPartition);
+  void Fail(const Sent& aSent, const base::Error& aError);
+
+  Context& mContext;
+  Answers& mAnswers;
+  Peers& mPeers;
+  PartitionMap& mPartitions;
+  uint64_t mNextId = 1;
+  std::map<uint64_t, Sent> mSent;
+  std::map<uint32_t, std::deque<Parked>> mParked;
+};
+
+}
--- /dev/null
+++ b/modules/entry/src/partition_map.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "commits.h"
+#include "context.h"
+#include "peers.h"
+#include "sycamore/ledger/partition_state.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sycamore::entry {
+
+enum class PartitionPhase : uint8_t
+{
+  Idle,      // Not owned here.
+  Opening,   // Its stream is being read before a claim.
+  Claiming,  // A claim is appended and not folded.
+  Owned,     // This entry serves it.
+  Releasing, // A release is appended and not folded.
+};
+
+struct Partition
+{
+  PartitionPhase mPhase = PartitionPhase::Idle;
+  std::shared_ptr<ledger::PartitionState> mState; // Null in phases Idle and Opening.
+  uint64_t mEpoch = 0;                            // Of this entry's claim.
+  std::string mOwner;                             // Of another entry; empty if not known.
+  uint64_t mOwnerEpoch = 0;
+  base::TimePoint mOwnerHeard;
+  base::TimePoint mNextTry; // Of opening or claiming.
+};
+
+// Told of changes of ownership.
+class PartitionObserver
+{
+public:
+  virtual ~PartitionObserver() = default;
+
+  // This entry owns aPartition from now on.
+  virtual void OnAcquired(uint32_t aPartition) = 0;
+
+  // Another entry owns aPartition, or it was released. The state is still readable.
+  virtual void OnLost(uint32_t aPartition) = 0;
+
+  // The owner elsewhere is known.
+  virtual void OnOwnerKnown(uint32_t aPartition) = 0;
+};
+
+// Which partitions this entry owns, and who owns the others. Safety rests on the fold alone; the
+// rules here only decide when to claim (docs/design.md, section 3.1).
+class PartitionMap
+{
+public:
+  PartitionMap(Context& aContext, Peers& aPeers, Commits& aCommits, PartitionObserver& aObserver);
+
+  // The state of a partition that is owned and served here; null otherwise.
+  ledger::PartitionState* Owned(uint32_t aPartition);
+
+  // Instance of the owner if it is another entry with a connection; empty otherwise.
+  std::string RemoteOwner(uint32_t aPartition);
+
+  const Partition& At(uint32_t aPartition) const { return mPartitions[aPartition]; }
+  uint32_t Count() const { return static_cast<uint32_t>(mPartitions.size()); }
+  uint32_t OwnedCount() const;
+
+  // Whether every partition has a known owner.
+  bool AllOwned();
+
+  void OnOpened(const ledger::PartitionOpened& aEvent);
+  void OnBatch(const ledger::BatchRead& aEvent);
+  void OnHeartbeat(const Peer& aPeer);
+
+  // Claims what is without an owner and first in order here.
+  void OnTick();
+
+  // Gives up every partition and reads the streams again before serving: another entry may have
+  // claimed them while this process was paused.
+  void OnPause();
+
+  // Gives up aPartition and reads its stream again.
+  void Reopen(uint32_t aPartition);
+
+  // Appends a release. Requires that no call of the partition is in flight.
+  void Release(uint32_t aPartition);
+
+private:
+  bool IsFirstInOrder(uint32_t aPartition);
+  bool OwnerIsAlive(const Partition& aPartition);
+  void TryClaim(uint32_t aPartition);
+  void NoteOwner(uint32_t aPartition, const std::string& aOwner, uint64_t aEpoch);
+  void Claimed(uint32_t aPartition, CommitResult aResult);
+  void StepDown(uint32_t aPartition);
+
+  Context& mContext;
+  Peers& mPeers;
+  Commits& mCommits;
+  PartitionObserver& mObserver;
+  std::vector<Partition> mPartitions;
+};
+
+}
--- /dev/null
+++ b/modules/policy/src/routing.cpp
@@ -0,0 +1,67 @@
+#include "sycamore/policy/routing.h"
+
+#include <algorithm>
+
+namespace sycamore::policy {
+
+// Tokens that one running or queued call without a token figure stands for. Tools report calls
+// only.
+static constexpr double kTokensPerCall = 50;
+
+double
+RouteScore(const ReplicaView& aReplica, const RouteRequest& aRequest, const ReplicaSpeed& aSpeed)
+{
+  const double reported = static_cast<double>(aReplica.mQueuedTokens) +
+                          kTokensPerCall * (aReplica.mRunning + aReplica.mQueued);
+  const double workedOff =
+    aSpeed.mQueueTokensPerMs * static_cast<double>(aReplica.mReportAge.count());
+  const double sent =
+    static_cast<double>(aReplica.mSentTokens) + kTokensPerCall * aReplica.mSentCalls;
+  const double backlog = std::max(0.0, reported + sent - workedOff);
+  const uint64_t cached = std::min(aReplica.mCachedTokens, aRequest.mPromptTokens);
+  const auto missing = static_cast<double>(aRequest.mPromptTokens - cached);
+  const double link = 2 * std::chrono::duration<double, std::milli>(aReplica.mLinkDelay).count();
+  const double bytes = aReplica.mCostPerMegabyte * static_cast<double>(aRequest.mBytes) / 1e6;
+  return backlog / aSpeed.mQueueTokensPerMs + missing / aSpeed.mPrefillTokensPerMs + link + bytes;
+}
+
+template<typename Score>
+static std::optional<size_t>
+ChooseLowest(const std::vector<ReplicaView>& aReplicas, size_t aStart, const Score& aScore)
+{
+  std::optional<size_t> best;
+  double bestScore = 0;
+  for (size_t i = 0; i < aReplicas.size(); ++i) {
+    const size_t index = (aStart + i) % aReplicas.size();
+    if (!aReplicas[index].mUsable) {
+      continue;
+    }
+    const double score = aScore(aReplicas[index]);
+    if (!best || score < bestScore) {
+      best = index;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+std::optional<size_t>
+ChooseByScore(const std::vector<ReplicaView>& aReplicas,
+              const RouteRequest& aRequest,
+              const ReplicaSpeed& aSpeed,
+              size_t aStart)
+{
+  return ChooseLowest(aReplicas, aStart, [&](const ReplicaView& aReplica) {
+    return RouteScore(aReplica, aRequest, aSpeed);
+  });
+}
+
+std::optional<size_t>
+ChooseByLoad(const std::vector<ReplicaView>& aReplicas, size_t aStart)
+{
+  return ChooseLowest(aReplicas, aStart, [](const ReplicaView& aReplica) {
+    return static_cast<double>(aReplica.mRunning) + aReplica.mQueued;
+  });
+}
+
+}
