Add the http module: server, blocking and asynchronous clients

Ruled out: retrying a request on a kept connection after a byte was written, since it could run twice; a kept connection is checked for an end of stream before use instead.

--- /dev/null
+++ b/modules/http/tests/server_test.cpp
@@ -0,0 +1,148 @@
+#include "sycamore/base/ring.h"
+#include "sycamore/http/async_client.h"
+#include "sycamore/http/client.h"
+#include "sycamore/http/server.h"
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+namespace sycamore::http {
+
+// A server whose requests are answered by the test.
+struct ServerFixture
+{
+  ServerFixture()
+    : mServer(ServerLimits{ 1024, base::Millis(30000), size_t{ 1 } << 20 },
+              { [this](Request aRequest) { return mRequests.TryPush(std::move(aRequest)); },
+                [this](uint64_t aId) { mClosed.TryPush(aId); } })
+  {
+    mEndpoint = base::ValueOf(mServer.Listen({ "127.0.0.1", 0 }));
+  }
+
+  Request Next()
+  {
+    auto request = mRequests.PopFor(base::Seconds(20));
+    BOOST_REQUIRE(request.has_value());
+    return std::move(*request);
+  }
+
+  void Answer(const Request& aRequest, std::string aBody)
+  {
+    ResponsePart part;
+    part.mRequest = aRequest.mId;
+    part.mBody = std::move(aBody);
+    mServer.Send(part);
+  }
+
+  static ClientRequest Post(std::string aBody)
+  {
+    ClientRequest request;
+    request.mMethod = "POST";
+    request.mTarget = "/v1/x?y=1";
+    request.mBody = std::move(aBody);
+    return request;
+  }
+
+  base::Ring<Request> mRequests{ 16 };
+  base::Ring<uint64_t> mClosed{ 16 };
+  Endpoint mEndpoint;
+  Server mServer;
+};
+
+// Guards against lost fields and against mixing answers of a kept connection.
+BOOST_FIXTURE_TEST_CASE(ServerTwoRequestsOnOneConnectionGetTheirAnswers, ServerFixture)
+{
+  Client client(mEndpoint, base::Seconds(20));
+  for (const std::string body : { "one", "two" }) {
+    auto answer = std::async(std::launch::async, [&] { return client.Perform(Post(body)); });
+    const Request request = Next();
+    BOOST_TEST(request.mMethod == "POST");
+    BOOST_TEST(request.mPath == "/v1/x");
+    BOOST_TEST(request.mQuery == "y=1");
+    Answer(request, request.mBody + "!");
+    BOOST_TEST(base::ValueOf(answer.get()).mBody == body + "!");
+  }
+}
+
+// Guards against streams that arrive only as a whole or out of order.
+BOOST_FIXTURE_TEST_CASE(ServerStreamedPartsArriveInOrder, ServerFixture)
+{
+  Client client(mEndpoint, base::Seconds(20));
+  std::string received;
+  auto answer = std::async(std::launch::async, [&] {
+    return client.PerformStreaming(Post("x"), [&](std::string_view aData) {
+      received += aData;
+      return true;
+    });
+  });
+  const Request request = Next();
+  for (int i = 0; i < 100; ++i) {
+    ResponsePart part;
+    part.mRequest = request.mId;
+    part.mFirst = i == 0;
+    part.mLast = i == 99;
+    part.mContentType = "text/event-stream";
+    part.mBody = std::to_string(i) + ",";
+    mServer.Send(part);
+  }
+  BOOST_TEST(base::ValueOf(answer.get()).mContentType == "text/event-stream");
+  BOOST_TEST(received.starts_with("0,1,2,3,"));
+  BOOST_TEST(received.ends_with("98,99,"));
+}
+
+// Guards against reading a body of any size into memory.
+BOOST_FIXTURE_TEST_CASE(ServerBodyOverTheLimitIsAnswered413, ServerFixture)
+{
+  Client client(mEndpoint, base::Seconds(20));
+  const auto answer = client.Perform(Post(std::string(2000, 'x')));
+  BOOST_TEST(base::ValueOf(answer).mStatus == 413);
+  BOOST_TEST(!mRequests.TryPop().has_value());
+}
+
+// Guards against work that goes on for a caller that has gone.
+BOOST_FIXTURE_TEST_CASE(ServerCallerThatClosesIsReported, ServerFixture)
+{
+  AsyncClient client;
+  std::promise<SendProgress> failed;
+  const uint64_t id = client.Start(
+    mEndpoint,
+    Post("x"),
+    base::Seconds(20),
+    { {},
+      [](const ClientResponse&) {},
+      [&](const base::Error&, SendProgress aProgress) { failed.set_value(aProgress); } });
+  const Request request = Next();
+  client.Cancel(id);
+  BOOST_TEST((failed.get_future().get() == SendProgress::MaybeSent));
+  BOOST_TEST(mClosed.PopFor(base::Seconds(20)).value() == request.mId);
+}
+
+// Guards against "not run" after a byte was sent, and against "maybe run" if none was.
+BOOST_FIXTURE_TEST_CASE(ClientToClosedPortReportsNothingSent, ServerFixture)
+{
+  mServer.Stop();
+  AsyncClient client;
+  std::promise<std::pair<base::ErrorKind, SendProgress>> failed;
+  client.Start({ "127.0.0.1", 1 },
+               Post("x"),
+               base::Seconds(20),
+               { {},
+                 [](const ClientResponse&) {},
+                 [&](const base::Error& aError, SendProgress aProgress) {
+                   failed.set_value({ aError.mKind, aProgress });
+                 } });
+  const auto [kind, progress] = failed.get_future().get();
+  BOOST_TEST((kind == base::ErrorKind::TargetRefused));
+  BOOST_TEST((progress == SendProgress::NothingSent));
+}
+
+// Guards against a caller that waits for ever on a server that never answers.
+BOOST_FIXTURE_TEST_CASE(ClientWithoutAnswerTimesOut, ServerFixture)
+{
+  Client client(mEndpoint, base::Millis(50));
+  const auto answer = client.Perform(Post("x"));
+  BOOST_REQUIRE(!base::IsOk(answer));
+  BOOST_TEST((base::ErrorOf(answer).mKind == base::ErrorKind::TargetTimeout));
+}
+
+}
