--- a/modules/transport/include/sycamore/transport/peer_hub.h
+++ b/modules/transport/include/sycamore/transport/peer_hub.h
@@ -14,8 +14,9 @@
 {
   base::Millis mHeartbeatBase{ 1000 };  // Shortest heartbeat interval.
   size_t mControlBytesPerSecond = 4096; // Upper bound of heartbeat traffic, by a longer interval.
-  base::Millis mSilenceLimit{ 3000 };   // Without any frame from a peer for this long plus two
-                                        // heartbeat intervals of the peer, the link is closed.
+  // A link without any frame for this long, or for three heartbeat intervals of its peer if that is
+  // longer, is closed.
+  base::Millis mSilenceLimit{ 3000 };
   base::Millis mRedialMin{ 100 };
   base::Millis mRedialMax{ 2000 };
   size_t mMaxQueuedBytes = size_t{ 16 } << 20; // Unsent bytes per link; beyond it, closed.
