--- a/modules/transport/tests/peer_hub_test.cpp
+++ b/modules/transport/tests/peer_hub_test.cpp
@@ -14,7 +14,9 @@
 struct Peer
 {
   explicit Peer(const std::string& aName, PeerHubSettings aSettings = {})
-    : mHub(aSettings, Hello(aName), [this](PeerEvent aEvent) { return mEvents.TryPush(aEvent); })
+    : mHub(aSettings, Hello(aName), [this](PeerEvent aEvent) {
+      return mEvents.TryPush(std::move(aEvent));
+    })
   {
     mEndpoint = base::ValueOf(mHub.Listen({ "127.0.0.1", 0 }));
   }
@@ -153,7 +155,7 @@
   client.Next<PeerConnected>();
   server.reset();
   client.Next<PeerLost>();
-  PeerHub again({}, Peer::Hello("again"), [](PeerEvent) { return true; });
+  PeerHub again({}, Peer::Hello("again"), [](const PeerEvent&) { return true; });
   BOOST_REQUIRE(base::IsOk(again.Listen(endpoint)));
   BOOST_TEST(client.Next<PeerConnected>().mHello->instance == "again");
 }
