Implement the partition fold and the Ledger

The entry role needs a working fold and group commit to build on.

Decided: the first outcome of a non-idempotent call advances the program's sequence whatever it is; a second intent for a key makes its batch invalid; an invalid batch uses up its sequence number; the end of a program ends its sub-agents and counts the remaining reservation as spent.

Interface changes: equality of the state structs, two derived fields of ProgramState, PartitionOpened::mHistoryLost, LogTrouble::mMustReopen.

--- a/modules/ledger/include/sycamore/ledger/key_state.h
+++ b/modules/ledger/include/sycamore/ledger/key_state.h
@@ -19,6 +19,8 @@
   uint64_t mIntentOffset = 0;
   std::optional<wire::LogOutcomeKind>
     mOutcome; // Empty while undecided. Unknown may still be refined.
+
+  bool operator==(const KeyState&) const = default;
 };
 
 }
--- a/modules/ledger/include/sycamore/ledger/ledger.h
+++ b/modules/ledger/include/sycamore/ledger/ledger.h
@@ -36,23 +36,32 @@
   Ledger(const Ledger&) = delete;
   Ledger& operator=(const Ledger&) = delete;
 
-  // Reads aPartition from its newest checkpoint to its head and reports PartitionOpened.
+  // Abandons aPartition, then reads it from its newest checkpoint to its head and reports
+  // PartitionOpened. BatchRead events that arrive between are of the time before and must be
+  // dropped. If the checkpoint that the last batch names was dropped by retention, all retained
+  // records are read for the newest other one; see PartitionOpened::mHistoryLost if none is left.
   void Open(uint32_t aPartition);
 
   // Starts a new epoch of this writer: the next batch of aPartition holds aClaim alone, with
   // sequence number 0. Requires that PartitionOpened or every BatchRead so far was folded by the
-  // caller.
+  // caller. Drops what is queued under an earlier epoch. Returns false if the partition is not
+  // open.
   bool Claim(uint32_t aPartition, wire::LogClaimT aClaim, uint64_t aTicket);
 
   // Queues an entry for the next batch of aPartition under the epoch of the last Claim. Returns
-  // false if mMaxPendingBytes would be exceeded; nothing is queued then.
+  // false if mMaxPendingBytes would be exceeded, or if the partition is not open and claimed;
+  // nothing is queued then. After a BatchRead with a newer claim of another process nothing more is
+  // appended; the caller finds that claim in its fold and calls Abandon.
   bool Append(uint32_t aPartition, wire::LogEntryT aEntry, uint64_t aTicket);
 
   // Drops what is queued for aPartition and stops following it; an outstanding append may still
   // take effect in the log. Call on losing ownership.
   void Abandon(uint32_t aPartition);
 
-  // Reads the LogTurn of aProgram and aSeq from the batch at aOffset and reports TurnRead.
+  // Reads the LogTurn of aProgram and aSeq from the batch at aOffset and reports TurnRead. For a
+  // non-idempotent call the turn is made of what the batch holds: the answer if aOffset is that of
+  // its outcome (TurnIndex::mOffset), the request if it is KeyState::mIntentOffset; both once the
+  // turn was rewritten. Errors: LogUnavailable; CallNotFound if retention dropped the batch.
   void ReadTurn(uint32_t aPartition,
                 uint64_t aOffset,
                 const base::ProgramId& aProgram,
--- a/modules/ledger/include/sycamore/ledger/ledger_event.h
+++ b/modules/ledger/include/sycamore/ledger/ledger_event.h
@@ -15,6 +15,10 @@
 struct PartitionOpened
 {
   std::shared_ptr<PartitionState> mState;
+  // Retention dropped records before any retained checkpoint covered them. The state then holds no
+  // programs: those created below its next offset are expired. Its epoch is at least that of every
+  // claim so far, so old owners stay excluded.
+  bool mHistoryLost = false;
 };
 
 // A batch that follows the last one reported for its partition, of this writer or another. The
@@ -32,6 +36,9 @@
 {
   uint32_t mPartition = 0;
   std::string mMessage;
+  // Retention dropped records that this process has not read, so its state is incomplete. Nothing
+  // is tried again: the receiver gives up the partition and opens it anew.
+  bool mMustReopen = false;
 };
 
 // The answer to Ledger::ReadTurn.
--- a/modules/ledger/include/sycamore/ledger/partition_state.h
+++ b/modules/ledger/include/sycamore/ledger/partition_state.h
@@ -25,6 +25,8 @@
   uint64_t mLastSequence = 0;             // Of the current epoch.
   uint64_t mCheckpointOffset = kNoOffset; // The newest accepted checkpoint.
   std::map<base::ProgramId, ProgramState> mPrograms;
+
+  bool operator==(const PartitionState&) const = default;
 };
 
 }
--- a/modules/ledger/include/sycamore/ledger/program_state.h
+++ b/modules/ledger/include/sycamore/ledger/program_state.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,11 @@
   base::Millis mElapsed{ 0 };    // Age at the last checkpoint, so that limits survive a new owner.
   std::vector<TurnIndex> mTurns; // In order of sequence number.
   std::map<std::string, KeyState> mKeys;
+  // Derived, not in checkpoints.
+  uint64_t mTreeReservedTokens = 0;    // On a root: its reservation and those of its sub-agents.
+  std::set<base::ProgramId> mChildren; // Sub-agents that have not ended.
+
+  bool operator==(const ProgramState&) const = default;
 };
 
 }
--- a/modules/ledger/include/sycamore/ledger/turn_index.h
+++ b/modules/ledger/include/sycamore/ledger/turn_index.h
@@ -16,6 +16,8 @@
   uint64_t mRequestDigest = 0;
   wire::LogTurnKind mKind = wire::LogTurnKind::Model;
   std::string mKey; // Set for non-idempotent calls.
+
+  bool operator==(const TurnIndex&) const = default;
 };
 
 }
--- /dev/null
+++ b/modules/ledger/src/batch_writer.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "sycamore/platform/log_client.h"
+#include "sycamore/wire/codec.h"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sycamore::ledger {
+
+// A batch that is on its way into the log. (epoch, incarnation, sequence) is its id.
+struct OutstandingBatch
+{
+  std::shared_ptr<const wire::LogBatchT> mBatch;
+  std::vector<uint64_t> mTickets;
+  size_t mBytes = 0;
+  // An append of it may have taken effect, so that it must be read back before it is repeated.
+  bool mMayBeInLog = false;
+};
+
+// A batch found in the log.
+struct FoundBatch
+{
+  uint64_t mOffset = 0;
+  std::shared_ptr<const wire::LogBatchT> mBatch;
+  bool mOwn = false; // It is the outstanding batch; only on the first copy.
+};
+
+// The result of one attempt to write an outstanding batch.
+struct WriteStep
+{
+  std::vector<FoundBatch> mFound; // Everything from the given offset on, in order.
+  uint64_t mNext = 0;             // The first offset not read.
+  bool mDone = false;             // The outstanding batch is among mFound.
+  bool mTruncated = false;        // Retention dropped records that were not read.
+  std::optional<base::Error> mError;
+};
+
+// Appends batches and reads them back. Belongs to one thread.
+// Spec: spec/ownership.pml (append_step).
+class BatchWriter
+{
+public:
+  BatchWriter(platform::LogClient& aLog, std::atomic<uint64_t>& aAppendsSent);
+
+  // Tries to bring aOut into aStream, of which everything below aNext was read. Never appends while
+  // an earlier append of aOut may have taken effect unseen.
+  WriteStep Write(const std::string& aStream, uint64_t aNext, OutstandingBatch& aOut);
+
+private:
+  bool ReadBack(const std::string& aStream, const OutstandingBatch& aOut, WriteStep& aStep);
+  void Append(const std::string& aStream, OutstandingBatch& aOut, WriteStep& aStep);
+
+  platform::LogClient& mLog;
+  std::atomic<uint64_t>& mAppendsSent;
+};
+
+}
--- /dev/null
+++ b/modules/ledger/src/ledger_writer.cpp
@@ -0,0 +1,203 @@
+#include "ledger_impl.h"
+
+#include "stream_name.h"
+#include "sycamore/base/log.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sycamore::ledger {
+
+using base::Clock;
+using base::Millis;
+using base::TimePoint;
+
+// A batch takes entries until it reaches this size. Larger ones would delay the other partitions of
+// the thread.
+static constexpr size_t kBatchBytes = size_t{ 1 } << 20;
+
+// Upper bound of one wait without work; new work wakes the thread earlier.
+static constexpr base::Seconds kIdleWait{ 60 };
+
+void
+Ledger::Impl::RunWriter()
+{
+  const std::unique_ptr<platform::LogClient> client = mMakeClient();
+  BatchWriter writer(*client, mAppendsSent);
+  Lock lock(mMutex);
+  while (!mStopping) {
+    const std::optional<WriteJob> job = NextWriteLocked(lock);
+    if (!job) {
+      continue;
+    }
+    lock.unlock();
+    const std::string stream = StreamName(mSettings.mStreamPrefix, job->mPartition);
+    FinishWrite(*job, writer.Write(stream, job->mNextOffset, *job->mOut));
+    lock.lock();
+  }
+}
+
+// The next write that is due, or nothing after a wait.
+std::optional<Ledger::Impl::WriteJob>
+Ledger::Impl::NextWriteLocked(Lock& aLock)
+{
+  TimePoint wake = Clock::now() + kIdleWait;
+  const std::optional<uint32_t> due = DuePartitionLocked(wake);
+  if (!due) {
+    mWriterWake.wait_until(aLock, wake);
+    return std::nullopt;
+  }
+  PartitionLog& log = mPartitions.at(*due);
+  if (!log.mOutstanding) {
+    FormBatchLocked(*due, log);
+  }
+  log.mNotBefore = Clock::now() + Window();
+  return WriteJob{ *due, log.mGeneration, log.mNextOffset, log.mOutstanding };
+}
+
+// The partition that has waited longest past its time. Otherwise lowers aWake to the next time.
+std::optional<uint32_t>
+Ledger::Impl::DuePartitionLocked(TimePoint& aWake) const
+{
+  const TimePoint now = Clock::now();
+  std::optional<uint32_t> due;
+  TimePoint earliest = TimePoint::max();
+  for (const auto& [partition, log] : mPartitions) {
+    if (log.HasWork() && log.mNotBefore < earliest) {
+      earliest = log.mNotBefore;
+      due = partition;
+    }
+  }
+  if (due && earliest <= now) {
+    return due;
+  }
+  aWake = std::min(aWake, earliest);
+  return std::nullopt;
+}
+
+void
+Ledger::Impl::FormBatchLocked(uint32_t aPartition, PartitionLog& aLog)
+{
+  auto batch = std::make_shared<wire::LogBatchT>();
+  batch->partition = aPartition;
+  batch->epoch = aLog.mEpoch;
+  batch->incarnation = mIncarnation;
+  batch->sequence = aLog.mNextSequence++;
+  batch->checkpoint_offset = aLog.mCheckpoint;
+  auto out = std::make_shared<OutstandingBatch>();
+  do {
+    QueuedEntry& entry = aLog.mQueue.front();
+    batch->entries.push_back(std::make_unique<wire::LogEntryT>(std::move(entry.mEntry)));
+    out->mTickets.push_back(entry.mTicket);
+    out->mBytes += entry.mBytes;
+    aLog.mQueue.pop_front();
+    // The claim stands alone.
+  } while (batch->sequence != 0 && !aLog.mQueue.empty() && out->mBytes < kBatchBytes);
+  out->mBatch = std::move(batch);
+  aLog.mOutstanding = std::move(out);
+}
+
+// The highest epoch that another process claims among what was read.
+static uint64_t
+ForeignClaim(const WriteStep& aStep, uint64_t aIncarnation)
+{
+  uint64_t epoch = 0;
+  for (const FoundBatch& found : aStep.mFound) {
+    const bool claims =
+      std::any_of(found.mBatch->entries.begin(),
+                  found.mBatch->entries.end(),
+                  [](const auto& aEntry) { return aEntry->record.AsLogClaim() != nullptr; });
+    if (claims && found.mBatch->incarnation != aIncarnation) {
+      epoch = std::max(epoch, found.mBatch->epoch);
+    }
+  }
+  return epoch;
+}
+
+void
+Ledger::Impl::FinishWrite(const WriteJob& aJob, const WriteStep& aStep)
+{
+  for (const FoundBatch& found : aStep.mFound) {
+    BatchRead read{ aJob.mPartition, found.mOffset, found.mBatch, {} };
+    if (found.mOwn) {
+      read.mTickets = aJob.mOut->mTickets;
+    }
+    if (!Deliver(aJob.mPartition, aJob.mGeneration, read)) {
+      return;
+    }
+  }
+  const uint64_t epoch = aJob.mOut->mBatch->epoch;
+  if (aStep.mTruncated || ForeignClaim(aStep, mIncarnation) > epoch + 1) {
+    CloseIncomplete(aJob, "retention dropped records of the partition before they were read");
+    return;
+  }
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    PartitionLog& log = mPartitions.at(aJob.mPartition);
+    if (log.mGeneration != aJob.mGeneration) {
+      return;
+    }
+    UpdateLocked(log, aJob, aStep);
+  }
+  if (aStep.mError) {
+    base::Log(
+      base::LogEvent::LogAppendFailed, "partition {}: {}", aJob.mPartition, aStep.mError->mMessage);
+    Deliver(aJob.mPartition,
+            aJob.mGeneration,
+            LogTrouble{ aJob.mPartition, aStep.mError->mMessage, false });
+  }
+}
+
+void
+Ledger::Impl::UpdateLocked(PartitionLog& aLog, const WriteJob& aJob, const WriteStep& aStep)
+{
+  aLog.mNextOffset = aStep.mNext;
+  const uint64_t foreign = ForeignClaim(aStep, mIncarnation);
+  const uint64_t epoch = aJob.mOut->mBatch->epoch;
+  const bool claiming = aJob.mOut->mBatch->sequence == 0;
+  // A claim that meets an equal one before it is lost as well. A later Claim of this process, made
+  // while this write was under way, is judged by its own read-back.
+  const bool lost = foreign > epoch || (claiming && !aStep.mDone && foreign == epoch);
+  if (aStep.mDone || lost) {
+    mPendingBytes -= aLog.mOutstanding->mBytes;
+    aLog.mOutstanding.reset();
+  }
+  if (lost && aLog.mEpoch <= foreign) {
+    aLog.mSuperseded = true;
+    for (const QueuedEntry& entry : aLog.mQueue) {
+      mPendingBytes -= entry.mBytes;
+    }
+    aLog.mQueue.clear();
+  }
+  aLog.mFailures = aStep.mError ? aLog.mFailures + 1 : 0;
+  if (aStep.mError) {
+    aLog.mNotBefore = Clock::now() + Backoff(aLog.mFailures);
+  }
+}
+
+void
+Ledger::Impl::CloseIncomplete(const WriteJob& aJob, const char* aMessage)
+{
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    PartitionLog& log = mPartitions.at(aJob.mPartition);
+    if (log.mGeneration != aJob.mGeneration) {
+      return;
+    }
+    ResetLocked(log);
+    log.mGeneration = aJob.mGeneration;
+  }
+  base::Log(base::LogEvent::LogReadFailed, "partition {}: {}", aJob.mPartition, aMessage);
+  Deliver(aJob.mPartition, aJob.mGeneration, LogTrouble{ aJob.mPartition, aMessage, true });
+}
+
+// Time between two appends of a partition, such that all owners together stay within the rate.
+Millis
+Ledger::Impl::Window() const
+{
+  const double millis = std::ceil(1000.0 * mLivePartitions / mSettings.mAppendsPerSecond);
+  return std::clamp(
+    Millis(static_cast<int64_t>(millis)), mSettings.mWindowMin, mSettings.mWindowMax);
+}
+
+}
