Add the call part of the sidecar core (not yet assembled)

Cause: the sidecar role needs exact call results before anything else; ordering, admission at most once, stream parsing and the life of a call are separate pure parts so that each has properties of its own.

--- /dev/null
+++ b/modules/sidecar/include/sycamore/sidecar/sidecar_output.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "sycamore/base/clock.h"
+#include "sycamore/transport/peer_event.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace sycamore::sidecar {
+
+// An HTTP request to a target. Each is reported exactly once as done or failed.
+struct TargetRequest
+{
+  uint64_t mTicket = 0;
+  size_t mTarget = 0; // Index in the settings.
+  std::string mMethod;
+  std::string mPath;
+  std::string mBody;
+  bool mStream = false; // Report pieces of the body as they arrive.
+  base::Millis mDeadline{ 0 };
+};
+
+// A request for permission to load weights.
+struct SlotRequest
+{
+  uint64_t mTicket = 0;
+  std::string mModel;
+  std::string mVersion;
+};
+
+// The effects of SidecarCore.
+class SidecarOutput
+{
+public:
+  virtual ~SidecarOutput() = default;
+
+  // Returns false if the link is gone or its queue is full.
+  virtual bool SendFrame(transport::LinkId aLink, const wire::FrameT& aFrame) = 0;
+
+  virtual void StartRequest(const TargetRequest& aRequest) = 0;
+
+  // The request is still reported once.
+  virtual void CancelRequest(uint64_t aTicket) = 0;
+
+  virtual void Publish(wire::HelloT aHello, wire::HeartbeatT aHeartbeat) = 0;
+
+  // Answered by SidecarCore::OnSlot.
+  virtual void RequestSlot(const SlotRequest& aRequest) = 0;
+};
+
+}
--- /dev/null
+++ b/modules/sidecar/src/call_book.cpp
@@ -0,0 +1,317 @@
+#include "sycamore/sidecar/call_book.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace sycamore::sidecar {
+
+using base::ErrorKind;
+using base::TimePoint;
+
+CallBook::CallBook(uint64_t aIncarnation, const CallBookLimits& aLimits)
+  : mIncarnation(aIncarnation)
+  , mLimits(aLimits)
+{
+}
+
+uint64_t
+CallBook::Incarnation() const
+{
+  return mIncarnation;
+}
+
+size_t
+CallBook::Records() const
+{
+  return mRecords.size();
+}
+
+size_t
+CallBook::OutcomeBytes() const
+{
+  return mOutcomeBytes;
+}
+
+size_t
+CallBook::UnackedOutcomes() const
+{
+  return mUnacked;
+}
+
+uint64_t
+CallBook::EpochFloor(uint32_t aPartition) const
+{
+  const auto found = mPartitions.find(aPartition);
+  return found == mPartitions.end() ? 0 : found->second.mFloor;
+}
+
+const CallRecord*
+CallBook::Find(const CallKey& aKey) const
+{
+  const auto found = mRecords.find(aKey);
+  return found == mRecords.end() ? nullptr : &found->second;
+}
+
+// Returns false if the partition cannot be tracked.
+bool
+CallBook::RaiseFloor(uint32_t aPartition, uint64_t aEpoch)
+{
+  auto found = mPartitions.find(aPartition);
+  if (found == mPartitions.end()) {
+    if (mPartitions.size() >= mLimits.mMaxPartitions) {
+      return false;
+    }
+    found = mPartitions.emplace(aPartition, Partition{}).first;
+  }
+  found->second.mFloor = std::max(found->second.mFloor, aEpoch);
+  return true;
+}
+
+// Checks of a call without a record; nothing if it may run.
+std::optional<Admission>
+CallBook::CheckNew(const DispatchFacts& aFacts) const
+{
+  if (aFacts.mRepeatable) {
+    return std::nullopt;
+  }
+  if (aFacts.mKey.mKey.empty()) {
+    return Admission{ AdmitDecision::Refuse, ErrorKind::KeyMissing };
+  }
+  if (mAcked.contains(aFacts.mKey)) {
+    return Admission{ AdmitDecision::Ignore };
+  }
+  if (aFacts.mIncarnation != mIncarnation) {
+    return Admission{ AdmitDecision::Refuse, ErrorKind::Fenced };
+  }
+  return std::nullopt;
+}
+
+Admission
+CallBook::AdmitKnown(const DispatchFacts& aFacts, CallRecord& aRecord)
+{
+  if (aRecord.mState == RecordState::Sealed) {
+    return { AdmitDecision::Refuse, ErrorKind::SealedNotRun };
+  }
+  if (!aRecord.mRepeatable || !aFacts.mRepeatable) {
+    aRecord.mEpoch = std::max(aRecord.mEpoch, aFacts.mEpoch);
+    return { AdmitDecision::Duplicate };
+  }
+  const auto known = std::pair(aRecord.mEpoch, aRecord.mAttempt);
+  const auto received = std::pair(aFacts.mEpoch, aFacts.mAttempt);
+  if (received < known) {
+    return { AdmitDecision::Ignore };
+  }
+  return { received == known ? AdmitDecision::Duplicate : AdmitDecision::Replace };
+}
+
+Admission
+CallBook::Admit(const DispatchFacts& aFacts, TimePoint aNow)
+{
+  const uint32_t partition = aFacts.mKey.mProgram.mPartition;
+  const auto found = mRecords.find(aFacts.mKey);
+  if (aFacts.mEpoch < EpochFloor(partition)) {
+    const bool seen = found != mRecords.end() || mAcked.contains(aFacts.mKey);
+    return { seen ? AdmitDecision::Ignore : AdmitDecision::Refuse, ErrorKind::Fenced };
+  }
+  if (!RaiseFloor(partition, aFacts.mEpoch)) {
+    return { AdmitDecision::Refuse, ErrorKind::Overloaded };
+  }
+  Admission admission{ AdmitDecision::Run };
+  if (found != mRecords.end()) {
+    admission = AdmitKnown(aFacts, found->second);
+    if (admission.mDecision != AdmitDecision::Replace) {
+      return admission;
+    }
+    Erase(found);
+  } else if (const auto refused = CheckNew(aFacts)) {
+    return *refused;
+  } else if (!MakeSpace(aNow)) {
+    return { AdmitDecision::Refuse, ErrorKind::Overloaded };
+  }
+  CallRecord record;
+  record.mEpoch = aFacts.mEpoch;
+  record.mAttempt = aFacts.mAttempt;
+  record.mRepeatable = aFacts.mRepeatable;
+  mRecords.emplace(aFacts.mKey, record);
+  return admission;
+}
+
+void
+CallBook::SetRunning(const CallKey& aKey)
+{
+  const auto found = mRecords.find(aKey);
+  assert(found != mRecords.end() && found->second.mState == RecordState::Queued);
+  found->second.mState = RecordState::Running;
+}
+
+static size_t
+OutcomeSize(const wire::CallOutcomeT& aOutcome)
+{
+  return sizeof(aOutcome) + aOutcome.body.size() + aOutcome.message.size();
+}
+
+void
+CallBook::Finish(const CallKey& aKey,
+                 std::shared_ptr<const wire::CallOutcomeT> aOutcome,
+                 TimePoint aNow)
+{
+  const auto found = mRecords.find(aKey);
+  assert(found != mRecords.end());
+  CallRecord& record = found->second;
+  assert(record.mState == RecordState::Queued || record.mState == RecordState::Running);
+  record.mState = RecordState::Finished;
+  record.mFinishedAt = aNow;
+  record.mOutcomeBytes = OutcomeSize(*aOutcome);
+  record.mOutcome = std::move(aOutcome);
+  mOutcomeBytes += record.mOutcomeBytes;
+  ++mUnacked;
+  if (record.mRepeatable) {
+    mFinishedRepeatable.push_back(aKey);
+  }
+  while (mOutcomeBytes > mLimits.mMaxOutcomeBytes && EvictRepeatable()) {
+  }
+}
+
+void
+CallBook::Erase(std::map<CallKey, CallRecord>::iterator aRecord)
+{
+  if (aRecord->second.mState == RecordState::Finished) {
+    assert(mOutcomeBytes >= aRecord->second.mOutcomeBytes && mUnacked > 0);
+    mOutcomeBytes -= aRecord->second.mOutcomeBytes;
+    --mUnacked;
+  }
+  mRecords.erase(aRecord);
+}
+
+bool
+CallBook::Ack(const CallKey& aKey, uint32_t aAttempt, uint64_t aEpoch)
+{
+  const auto found = mRecords.find(aKey);
+  if (found == mRecords.end() || aEpoch < found->second.mEpoch) {
+    return false;
+  }
+  const CallRecord& record = found->second;
+  const bool settled =
+    record.mState == RecordState::Finished || record.mState == RecordState::Sealed;
+  if (!settled || (record.mRepeatable && record.mAttempt != aAttempt)) {
+    return false;
+  }
+  if (!record.mRepeatable) {
+    RememberAcked(aKey);
+  }
+  Erase(found);
+  return true;
+}
+
+void
+CallBook::RememberAcked(const CallKey& aKey)
+{
+  if (mAcked.insert(aKey).second) {
+    mAckedOrder.push_back(aKey);
+  }
+  while (mAckedOrder.size() > mLimits.mMaxRecentAcked) {
+    mAcked.erase(mAckedOrder.front());
+    mAckedOrder.pop_front();
+  }
+}
+
+// Makes room for one more record; false if the book is full.
+bool
+CallBook::MakeSpace(TimePoint aNow)
+{
+  while (mRecords.size() >= mLimits.mMaxRecords || mOutcomeBytes > mLimits.mMaxOutcomeBytes) {
+    if (!EvictRepeatable() && !EvictAbandoned(aNow)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// Discards the oldest outcome of a repeatable call; its owner may dispatch it again.
+bool
+CallBook::EvictRepeatable()
+{
+  while (!mFinishedRepeatable.empty()) {
+    const CallKey key = mFinishedRepeatable.front();
+    mFinishedRepeatable.pop_front();
+    const auto found = mRecords.find(key);
+    if (found != mRecords.end() && found->second.mRepeatable &&
+        found->second.mState == RecordState::Finished) {
+      Erase(found);
+      return true;
+    }
+  }
+  return false;
+}
+
+// Discards one outcome or seal that a replaced owner has not acknowledged for a long time.
+bool
+CallBook::EvictAbandoned(TimePoint aNow)
+{
+  const auto abandoned = [&](const auto& aEntry) {
+    const CallRecord& record = aEntry.second;
+    const bool settled =
+      record.mState == RecordState::Finished || record.mState == RecordState::Sealed;
+    return settled && record.mEpoch < EpochFloor(aEntry.first.mProgram.mPartition) &&
+           aNow - record.mFinishedAt >= mLimits.mAbandonedAge;
+  };
+  const auto found = std::find_if(mRecords.begin(), mRecords.end(), abandoned);
+  if (found == mRecords.end()) {
+    return false;
+  }
+  if (found->second.mState == RecordState::Finished) {
+    mPartitions[found->first.mProgram.mPartition].mForgotOutcome = true;
+  }
+  Erase(found);
+  return true;
+}
+
+SealState
+CallBook::Seal(const CallKey& aKey, uint64_t aEpoch, uint64_t aIncarnation, TimePoint aNow)
+{
+  const uint32_t partition = aKey.mProgram.mPartition;
+  if (aEpoch < EpochFloor(partition) || !RaiseFloor(partition, aEpoch)) {
+    return SealState::NoAnswer;
+  }
+  const auto found = mRecords.find(aKey);
+  if (found == mRecords.end()) {
+    return SealUnseen(aKey, aEpoch, aIncarnation, aNow);
+  }
+  found->second.mEpoch = std::max(found->second.mEpoch, aEpoch);
+  switch (found->second.mState) {
+    case RecordState::Queued:
+      return SealState::Queued;
+    case RecordState::Running:
+      return SealState::Running;
+    case RecordState::Finished:
+      return SealState::Finished;
+    case RecordState::Sealed:
+      break;
+  }
+  return SealState::Sealed;
+}
+
+SealState
+CallBook::SealUnseen(const CallKey& aKey,
+                     uint64_t aEpoch,
+                     uint64_t aIncarnation,
+                     TimePoint aNow)
+{
+  const bool forgotten = mPartitions.at(aKey.mProgram.mPartition).mForgotOutcome;
+  if (aIncarnation != mIncarnation || forgotten || mAcked.contains(aKey)) {
+    return SealState::Unknown;
+  }
+  if (!MakeSpace(aNow)) {
+    return SealState::NoAnswer;
+  }
+  CallRecord record;
+  record.mState = RecordState::Sealed;
+  record.mEpoch = aEpoch;
+  record.mRepeatable = false;
+  record.mFinishedAt = aNow;
+  mRecords.emplace(aKey, record);
+  return SealState::Sealed;
+}
+
+}
--- /dev/null
+++ b/modules/sidecar/src/call_results.cpp
@@ -0,0 +1,295 @@
+// Reports of the targets and the outcomes made from them.
+#include "call_runner.h"
+
+#include "sycamore/base/log.h"
+#include "sycamore/wire/codec.h"
+
+#include <cassert>
+
+namespace sycamore::sidecar {
+
+using base::Error;
+using base::ErrorKind;
+using base::Log;
+using base::LogEvent;
+using base::Millis;
+using base::TimePoint;
+
+// A request is closed by the core this long after its deadline if it was not reported by then.
+static constexpr Millis kDeadlineGrace{ 2000 };
+
+void
+CallRunner::OnData(const Ticket& aTicket, std::string_view aData)
+{
+  const auto found = mCalls.find(aTicket.mCall);
+  if (found == mCalls.end()) {
+    return;
+  }
+  ActiveCall& call = found->second;
+  if (call.mStreamBroken || call.mSuperseded) {
+    return;
+  }
+  auto text = call.mParser.Feed(aData);
+  if (!IsOk(text)) {
+    call.mStreamBroken = true;
+    call.mStreamError = ErrorOf(text).mMessage;
+    return;
+  }
+  if (ValueOf(text).empty()) {
+    return;
+  }
+  wire::CallTokenT token;
+  token.call = std::make_unique<wire::CallIdT>(*call.mDispatch->call);
+  token.attempt = call.mDispatch->attempt;
+  token.index = call.mNextIndex++;
+  token.text = TakeValue(std::move(text));
+  mState.SendTo(call.mPeer, wire::MakeFrame(std::move(token)));
+}
+
+std::shared_ptr<wire::CallOutcomeT>
+CallRunner::NewOutcome(const ActiveCall& aCall, TimePoint aNow) const
+{
+  auto outcome = std::make_shared<wire::CallOutcomeT>();
+  outcome->call = std::make_unique<wire::CallIdT>(*aCall.mDispatch->call);
+  outcome->attempt = aCall.mDispatch->attempt;
+  const bool started = aCall.mLife.Phase() != CallPhase::Queued;
+  const auto queued = (started ? aCall.mStartedAt : aNow) - aCall.mQueuedAt;
+  outcome->queued_ms = static_cast<uint64_t>(std::chrono::duration_cast<Millis>(queued).count());
+  return outcome;
+}
+
+// Usage of a call that ended without the engine's figures: the prompt as estimated by the owner and
+// one token per received piece.
+static void
+SetEstimatedUsage(const ActiveCall& aCall, wire::CallOutcomeT& aOutcome)
+{
+  aOutcome.prompt_tokens = aCall.mDispatch->prompt_tokens;
+  aOutcome.generated_tokens = aCall.mNextIndex;
+}
+
+static void
+SetUsage(const AnswerUsage& aUsage, wire::CallOutcomeT& aOutcome)
+{
+  aOutcome.prompt_tokens = aUsage.mPromptTokens;
+  aOutcome.cached_tokens = aUsage.mCachedTokens;
+  aOutcome.generated_tokens = aUsage.mGeneratedTokens;
+}
+
+// The call may have run and has no usable answer.
+static void
+SetUnknown(const ActiveCall& aCall,
+           ErrorKind aKind,
+           const std::string& aMessage,
+           wire::CallOutcomeT& aOutcome)
+{
+  const ErrorKind kind = aCall.mDispatch->repeatable ? aKind : ErrorKind::OutcomeUnknown;
+  aOutcome.result = wire::CallResult::Unknown;
+  aOutcome.error = base::AnswerFor(kind).mCode;
+  aOutcome.message = aMessage;
+  if (aCall.mDispatch->kind == wire::CallKind::Model) {
+    SetEstimatedUsage(aCall, aOutcome);
+  }
+}
+
+static void
+SetStreamedAnswer(const ActiveCall& aCall, wire::CallOutcomeT& aOutcome)
+{
+  if (aCall.mStreamBroken || !aCall.mParser.Complete()) {
+    const std::string cause =
+      aCall.mStreamBroken ? aCall.mStreamError : "the stream ended without its end marker";
+    SetUnknown(aCall, ErrorKind::TargetFailed, cause, aOutcome);
+    return;
+  }
+  aOutcome.body = aCall.mParser.Body();
+  if (aCall.mParser.Usage()) {
+    SetUsage(*aCall.mParser.Usage(), aOutcome);
+  } else {
+    SetEstimatedUsage(aCall, aOutcome);
+  }
+}
+
+static void
+SetModelAnswer(const ActiveCall& aCall,
+               const http::ClientResponse& aResponse,
+               wire::CallOutcomeT& aOutcome)
+{
+  const auto usage = ParseAnswer(aResponse.mBody);
+  if (!IsOk(usage)) {
+    SetUnknown(aCall, ErrorKind::TargetFailed, ErrorOf(usage).mMessage, aOutcome);
+    return;
+  }
+  aOutcome.body = aResponse.mBody;
+  SetUsage(ValueOf(usage), aOutcome);
+}
+
+void
+CallRunner::OnDone(const Ticket& aTicket,
+                   const http::ClientResponse& aResponse,
+                   TimePoint aNow)
+{
+  const auto found = mCalls.find(aTicket.mCall);
+  assert(found != mCalls.end());
+  ActiveCall& call = found->second;
+  mState.mTargets.at(call.mTarget).mHealth.Answered();
+  auto outcome = NewOutcome(call, aNow);
+  outcome->result = wire::CallResult::Answered;
+  outcome->status = static_cast<uint32_t>(aResponse.mStatus);
+  const bool success = aResponse.mStatus >= 200 && aResponse.mStatus < 300;
+  if (!success) {
+    outcome->error = base::AnswerFor(ErrorKind::TargetFailed).mCode;
+    outcome->message = "the target answered with an error status";
+    outcome->body = aResponse.mBody;
+  } else if (call.mDispatch->kind == wire::CallKind::Tool) {
+    outcome->body = aResponse.mBody;
+  } else if (call.mDispatch->stream) {
+    SetStreamedAnswer(call, *outcome);
+  } else {
+    SetModelAnswer(call, aResponse, *outcome);
+  }
+  ReleaseSlot(call, outcome->prompt_tokens + outcome->generated_tokens, aNow);
+  FinishCall(aTicket.mCall, std::move(outcome), aNow);
+}
+
+void
+CallRunner::OnFailed(const Ticket& aTicket,
+                     const Error& aError,
+                     http::SendProgress aProgress,
+                     TimePoint aNow)
+{
+  const auto found = mCalls.find(aTicket.mCall);
+  assert(found != mCalls.end());
+  ActiveCall& call = found->second;
+  auto outcome = NewOutcome(call, aNow);
+  const bool cancelled = call.mLife.Phase() == CallPhase::Cancelling;
+  if (aProgress == http::SendProgress::NothingSent) {
+    outcome->result = wire::CallResult::NotRun;
+    outcome->error = base::AnswerFor(aError.mKind).mCode;
+    outcome->message = aError.mMessage;
+    if (aError.mKind == ErrorKind::TargetRefused && !cancelled) {
+      mState.mTargets.at(call.mTarget).mHealth.ConnectFailed(aNow);
+    }
+  } else {
+    const bool expired = call.mExpiresAt <= aNow;
+    const ErrorKind kind = expired ? ErrorKind::DeadlineExceeded : aError.mKind;
+    SetUnknown(call, kind, aError.mMessage, *outcome);
+  }
+  ReleaseSlot(call, outcome->prompt_tokens + outcome->generated_tokens, aNow);
+  FinishCall(aTicket.mCall, std::move(outcome), aNow);
+}
+
+void
+CallRunner::ReleaseSlot(ActiveCall& aCall, uint64_t aTokens, TimePoint aNow)
+{
+  TargetState& target = mState.mTargets.at(aCall.mTarget);
+  assert(target.mRunning > 0);
+  --target.mRunning;
+  if (mHooks.mFinished) {
+    mHooks.mFinished(aCall.mTarget, aCall.mKey.mProgram, aTokens, aNow);
+  }
+}
+
+void
+CallRunner::FinishNotRun(uint64_t aNumber, const Error& aError, TimePoint aNow)
+{
+  const ActiveCall& call = mCalls.at(aNumber);
+  assert(call.mLife.Phase() == CallPhase::Queued);
+  const auto& waiting = mQueues.at(call.mTarget).mCalls;
+  if (std::find(waiting.begin(), waiting.end(), aNumber) != waiting.end()) {
+    Dequeue(aNumber);
+  }
+  auto outcome = NewOutcome(call, aNow);
+  outcome->result = wire::CallResult::NotRun;
+  outcome->error = base::AnswerFor(aError.mKind).mCode;
+  outcome->message = aError.mMessage;
+  FinishCall(aNumber, std::move(outcome), aNow);
+}
+
+void
+CallRunner::FinishCall(uint64_t aNumber,
+                       std::shared_ptr<wire::CallOutcomeT> aOutcome,
+                       TimePoint aNow)
+{
+  ActiveCall call = std::move(mCalls.at(aNumber));
+  mCalls.erase(aNumber);
+  const bool ran = call.mLife.Phase() != CallPhase::Queued;
+  [[maybe_unused]] const bool finished = call.mLife.Apply(CallStep::Finish);
+  assert(finished);
+  Count(*aOutcome);
+  Log(LogEvent::CallFinished,
+      "{} seq {} attempt {}: {} {}",
+      base::ToString(call.mKey.mProgram),
+      aOutcome->call->seq,
+      aOutcome->attempt,
+      wire::EnumNameCallResult(aOutcome->result),
+      aOutcome->error);
+  if (!call.mSuperseded) {
+    mCurrent.erase(call.mKey);
+    mBook.Finish(call.mKey, aOutcome, aNow);
+    SendOutcome(call.mPeer, *aOutcome);
+  }
+  if (ran) {
+    StartWaiting(call.mTarget, aNow);
+  }
+}
+
+void
+CallRunner::Count(const wire::CallOutcomeT& aOutcome)
+{
+  SidecarCounters& counters = mState.mCounters;
+  counters.mPromptTokens += aOutcome.prompt_tokens;
+  counters.mCachedTokens += aOutcome.cached_tokens;
+  counters.mGeneratedTokens += aOutcome.generated_tokens;
+  switch (aOutcome.result) {
+    case wire::CallResult::Answered:
+      ++counters.mAnswered;
+      return;
+    case wire::CallResult::NotRun:
+      ++counters.mNotRun;
+      return;
+    case wire::CallResult::Unknown:
+      ++counters.mUnknown;
+      return;
+  }
+}
+
+void
+CallRunner::SendOutcome(uint64_t aPeer, const wire::CallOutcomeT& aOutcome)
+{
+  // If the link is gone the outcome stays in the book until the owner looks it up.
+  mState.SendTo(aPeer, wire::MakeFrame(wire::CallOutcomeT(aOutcome)));
+}
+
+void
+CallRunner::OnTick(TimePoint aNow)
+{
+  std::vector<uint64_t> expired;
+  for (auto& [number, call] : mCalls) {
+    const bool queued = call.mLife.Phase() == CallPhase::Queued;
+    if (queued && call.mExpiresAt <= aNow) {
+      expired.push_back(number);
+    }
+    const bool overdue = !queued && call.mExpiresAt + kDeadlineGrace <= aNow;
+    if (overdue && call.mLife.Apply(CallStep::Cancel)) {
+      mState.mOutput.CancelRequest(call.mTicket);
+    }
+  }
+  for (const uint64_t number : expired) {
+    FinishNotRun(number, { ErrorKind::DeadlineExceeded, "expired while queued", "" }, aNow);
+  }
+}
+
+void
+CallRunner::RefuseQueued(const Error& aError, TimePoint aNow)
+{
+  std::vector<uint64_t> queued;
+  for (const auto& [number, call] : mCalls) {
+    if (call.mLife.Phase() == CallPhase::Queued) {
+      queued.push_back(number);
+    }
+  }
+  for (const uint64_t number : queued) {
+    FinishNotRun(number, aError, aNow);
+  }
+}
+
+}
--- /dev/null
+++ b/modules/sidecar/src/core_state.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "sycamore/settings/settings.h"
+#include "sycamore/sidecar/peer_table.h"
+#include "sycamore/sidecar/sidecar_counters.h"
+#include "sycamore/sidecar/sidecar_output.h"
+#include "sycamore/sidecar/target_health.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace sycamore::sidecar {
+
+enum class TicketPurpose : uint8_t
+{
+  Call,
+  Load,
+  CacheList,
+  MemoryRelease,
+  OrderRead,
+  OrderSend,
+  Slot,
+};
+
+// What an outstanding request is for.
+struct Ticket
+{
+  TicketPurpose mPurpose = TicketPurpose::Call;
+  size_t mTarget = 0;
+  uint64_t mCall = 0;            // For Call: number of the call.
+  base::ProgramId mProgram;      // For MemoryRelease.
+  base::TimePoint mRequestedAt;
+};
+
+// One target as the core sees it.
+struct TargetState
+{
+  settings::TargetSettings mSettings;
+  TargetHealth mHealth{ TargetHealthRules{} };
+  wire::TargetLoadT mReported;                 // As last polled, without calls queued here.
+  std::optional<base::TimePoint> mReportedAt;
+  bool mPolling = false;
+  uint32_t mRunning = 0;                       // Calls given to the target and not reported.
+  uint64_t mFence = 0;                         // Highest order version known.
+
+  bool IsEngine() const { return mSettings.mTarget.mKind == world::TargetKind::Engine; }
+};
+
+// What the parts of the core share.
+struct CoreState
+{
+  const settings::Settings& mSettings;
+  uint64_t mIncarnation;
+  SidecarOutput& mOutput;
+  PeerTable mPeers;
+  std::vector<TargetState> mTargets;
+  std::map<uint64_t, Ticket> mTickets;
+  uint64_t mNextTicket = 1;
+  SidecarCounters mCounters;
+
+  // Sends a frame to the newest link of an entry; false if there is none.
+  bool SendTo(uint64_t aPeer, const wire::FrameT& aFrame)
+  {
+    const auto link = mPeers.NewestLink(aPeer);
+    return link && mOutput.SendFrame(*link, aFrame);
+  }
+
+  // Starts a request and records its purpose.
+  uint64_t Start(const Ticket& aTicket, TargetRequest aRequest)
+  {
+    const uint64_t number = mNextTicket++;
+    mTickets.emplace(number, aTicket);
+    aRequest.mTicket = number;
+    aRequest.mTarget = aTicket.mTarget;
+    mOutput.StartRequest(aRequest);
+    return number;
+  }
+};
+
+}
