--- a/modules/entry/include/sycamore/entry/core_event.h
+++ b/modules/entry/include/sycamore/entry/core_event.h
@@ -27,13 +27,11 @@
 
 // Time has passed.
 struct Tick
-{
-};
+{};
 
 // The process is to stop gracefully.
 struct DrainRequested
-{
-};
+{};
 
 // Everything that the entry's state machine reacts to.
 using CoreEvent = std::variant<http::Request,
--- a/modules/entry/src/call.h
+++ b/modules/entry/src/call.h
@@ -38,7 +38,9 @@
   std::string mText;       // Passed on so far.
   bool mGap = false;       // A token was missed; the rest comes with the outcome.
   bool mSeal = false;      // Found in the log: sealed, not looked up.
+  bool mFound = false;     // Sealed, and found to be queued or running.
   base::TimePoint mLostAt; // When the connection was lost.
+  base::TimePoint mAskedAt;
 };
 
 // A call at its owner, from its acceptance to the fold of its record.
@@ -69,21 +71,26 @@
   uint64_t mAdmittedTokens = 0;
 
   // Budget.
-  std::string mPrompt; // Messages of the whole prompt, separated by commas.
+  std::string mPrompt;        // Messages of the whole prompt, separated by commas.
   uint64_t mPromptTokens = 0; // Upper bound.
   uint64_t mNeed = 0;         // Reservation needed by one attempt.
   uint64_t mCharged = 0;      // Tokens that earlier attempts may have used.
 
   Attempt mAttempt;
-  bool mDispatched = false;         // Some attempt may have reached a target.
+  bool mPending = false;           // The present attempt was sent and has no outcome.
+  bool mMayHaveRun = false;        // An earlier attempt may have run.
+  bool mIntentFolded = false;      // Of a non-idempotent call: its intent is the first for its key.
   std::set<std::string> mExcluded; // Targets not to be tried again.
   base::Error mLastError{ base::ErrorKind::NoTarget, "no target of the service is available", "" };
 
   // The result, once known.
   std::shared_ptr<const TurnText> mResult; // Of a Turn, or an answered outcome.
   std::optional<wire::LogOutcomeKind> mOutcome;
-  uint64_t mUsedTokens = 0;
-  bool mAppended = false; // The record of the result is with the ledger.
+  uint64_t mUsedTokens = 0;   // Computed tokens, those of lost attempts included.
+  uint64_t mServedTokens = 0; // Prompt and answer as counted by the engine.
+  bool mAppended = false;     // The record of the result is with the ledger.
+  bool mFinal = false;        // No better outcome than unknown can come.
+  std::shared_ptr<const wire::CallOutcomeT> mLater; // Came while unknown was being recorded.
 };
 
 }
--- a/modules/entry/src/call_book.cpp
+++ b/modules/entry/src/call_book.cpp
@@ -55,6 +55,14 @@
   }
 }
 
+void
+CallBook::ForEachConst(const std::function<void(const Call&)>& aFunction) const
+{
+  for (const auto& [key, call] : mCalls) {
+    aFunction(*call);
+  }
+}
+
 void
 CallBook::ForEachOf(const base::ProgramId& aProgram, const std::function<void(Call&)>& aFunction)
 {
--- a/modules/entry/src/call_book.h
+++ b/modules/entry/src/call_book.h
@@ -26,9 +26,12 @@
   void ForEach(const std::function<void(Call&)>& aFunction);
   void ForEachOf(const base::ProgramId& aProgram, const std::function<void(Call&)>& aFunction);
 
+  void ForEachConst(const std::function<void(const Call&)>& aFunction) const;
+
   size_t Size() const { return mCalls.size(); }
 
-  // Whether a call of aPartition is in progress, calls that only wait for a better outcome excluded.
+  // Whether a call of aPartition is in progress, calls that only wait for a better outcome
+  // excluded.
   bool AnyInFlight(uint32_t aPartition) const;
   bool AnyInFlight(const base::ProgramId& aProgram) const;
 
--- /dev/null
+++ b/modules/entry/src/call_intake.cpp
@@ -0,0 +1,455 @@
+#include "call_intake.h"
+
+#include <algorithm>
+#include <boost/json/object.hpp>
+#include <fmt/format.h>
+#include <utility>
+
+namespace sycamore::entry {
+
+using base::Error;
+using base::ErrorKind;
+using wire::LogOutcomeKind;
+
+CallIntake::CallIntake(const CallParts& aParts,
+                       CallRunner& aRunner,
+                       Answers& aAnswers,
+                       ProgramMemory& aMemory,
+                       std::function<void(const base::ProgramId&)> aOnTurnLimit)
+  : mParts(aParts)
+  , mRunner(aRunner)
+  , mAnswers(aAnswers)
+  , mMemory(aMemory)
+  , mOnTurnLimit(std::move(aOnTurnLimit))
+{
+}
+
+base::Result<const ledger::ProgramState*>
+FindProgram(const ledger::PartitionState& aState, const base::ProgramId& aId)
+{
+  const auto found = aState.mPrograms.find(aId);
+  if (found != aState.mPrograms.end()) {
+    return &found->second;
+  }
+  // Programs are dropped only by checkpoints, so an id from before the last one may be an old one.
+  const bool old =
+    aState.mCheckpointOffset != ledger::kNoOffset && aId.mCreationOffset < aState.mCheckpointOffset;
+  if (old) {
+    return Error{ ErrorKind::ProgramExpired, "the program has ended and its records expired", "" };
+  }
+  return Error{ ErrorKind::UnknownProgram, "there is no such program", "program" };
+}
+
+base::TimePoint
+CallIntake::DeadlineOf(const Incoming& aIncoming, const CallRequest& aRequest) const
+{
+  const base::Millis given =
+    aRequest.mDeadline.value_or(mParts.mContext.mSettings.mDefaultDeadline);
+  return std::min(aIncoming.mDeadline, mParts.mContext.mNow + given);
+}
+
+void
+CallIntake::Submit(const Incoming& aIncoming, const base::ProgramId& aId, CallRequest aRequest)
+{
+  const ledger::PartitionState& state = *mParts.mPartitions.Owned(aId.mPartition);
+  const auto program = FindProgram(state, aId);
+  if (!base::IsOk(program)) {
+    mAnswers.Fail(aIncoming.mReply, base::ErrorOf(program));
+    return;
+  }
+  const Request request{ aIncoming, aId, *base::ValueOf(program), aRequest };
+  if (AnswerFromKey(request) || AnswerFromSeq(request)) {
+    return;
+  }
+  std::optional<Error> refusal = CheckProgram(request);
+  if (!refusal) {
+    refusal = CheckService(request);
+  }
+  if (refusal) {
+    mAnswers.Fail(aIncoming.mReply, *refusal);
+    return;
+  }
+  Start(request);
+}
+
+bool
+CallIntake::AnswerFromKey(const Request& aRequest)
+{
+  const std::string& key = aRequest.mCall.mKey;
+  if (key.empty()) {
+    return false;
+  }
+  const Error reused{ ErrorKind::KeyReused, "the key was used for another call", "key" };
+  Call* call = mParts.mCalls.FindKey(aRequest.mId, key);
+  const auto known = aRequest.mProgram.mKeys.find(key);
+  if (call == nullptr && known == aRequest.mProgram.mKeys.end()) {
+    return false;
+  }
+  const uint64_t digest = call != nullptr ? call->mRequest.mDigest : known->second.mRequestDigest;
+  if (digest != aRequest.mCall.mDigest) {
+    mAnswers.Fail(aRequest.mIncoming.mReply, reused);
+    return true;
+  }
+  const bool waiting = call != nullptr && !call->mOutcome;
+  if (waiting && call->mAttempt.mSeal && !mRunner.IsReachable(*call)) {
+    mAnswers.Fail(aRequest.mIncoming.mReply,
+                  { ErrorKind::OutcomeUnknown,
+                    "the target of the call cannot be reached; the call will not be repeated",
+                    "" });
+  } else if (waiting || (call != nullptr && call->mLife.Phase() == CallPhase::Committing)) {
+    Attach(*call, aRequest.mIncoming, aRequest.mCall);
+  } else {
+    AnswerOutcome(aRequest.mIncoming, aRequest.mId, aRequest.mProgram, key);
+  }
+  return true;
+}
+
+void
+CallIntake::AnswerOutcome(const Incoming& aIncoming,
+                          const base::ProgramId& aId,
+                          const ledger::ProgramState& aProgram,
+                          const std::string& aKey)
+{
+  const auto known = aProgram.mKeys.find(aKey);
+  const auto outcome = known == aProgram.mKeys.end() ? std::nullopt : known->second.mOutcome;
+  if (outcome == LogOutcomeKind::Answered) {
+    Replay(aIncoming, aId, aProgram, known->second.mSeq, false);
+  } else if (outcome == LogOutcomeKind::NotRun) {
+    mAnswers.Fail(aIncoming.mReply,
+                  { ErrorKind::SealedNotRun,
+                    "the call did not run and its key is used up; use a new seq and key",
+                    "key" });
+  } else {
+    mAnswers.Fail(
+      aIncoming.mReply,
+      { ErrorKind::OutcomeUnknown, "the outcome is unknown, will not be repeated", "key" });
+  }
+}
+
+static const ledger::TurnIndex*
+FindTurn(const ledger::ProgramState& aProgram, uint32_t aSeq)
+{
+  const auto found = std::lower_bound(
+    aProgram.mTurns.begin(),
+    aProgram.mTurns.end(),
+    aSeq,
+    [](const ledger::TurnIndex& aTurn, uint32_t aOther) { return aTurn.mSeq < aOther; });
+  return found != aProgram.mTurns.end() && found->mSeq == aSeq ? &*found : nullptr;
+}
+
+bool
+CallIntake::AnswerFromSeq(const Request& aRequest)
+{
+  const uint32_t seq = aRequest.mCall.mSeq;
+  const ReplyTo& reply = aRequest.mIncoming.mReply;
+  if (seq < aRequest.mProgram.mNextSeq) {
+    const ledger::TurnIndex* turn = FindTurn(aRequest.mProgram, seq);
+    if (turn != nullptr && turn->mRequestDigest == aRequest.mCall.mDigest) {
+      Replay(aRequest.mIncoming,
+             aRequest.mId,
+             aRequest.mProgram,
+             seq,
+             aRequest.mCall.mStream || aRequest.mIncoming.mAcceptsStream);
+      return true;
+    }
+    mAnswers.Fail(reply,
+                  { ErrorKind::TurnOutOfOrder,
+                    fmt::format("seq {} belongs to another call; the next seq is {}",
+                                seq,
+                                aRequest.mProgram.mNextSeq),
+                    "seq" });
+    return true;
+  }
+  Call* call = mParts.mCalls.Find(aRequest.mId, seq);
+  if (call == nullptr) {
+    return false;
+  }
+  if (call->mRequest.mDigest == aRequest.mCall.mDigest &&
+      call->mRequest.mKey == aRequest.mCall.mKey) {
+    Attach(*call, aRequest.mIncoming, aRequest.mCall);
+  } else {
+    mAnswers.Fail(reply,
+                  { ErrorKind::CallInFlight, "another call with this seq is in progress", "seq" });
+  }
+  return true;
+}
+
+std::optional<Error>
+CallIntake::CheckProgram(const Request& aRequest)
+{
+  const ledger::PartitionState& state = *mParts.mPartitions.Owned(aRequest.mId.mPartition);
+  const ledger::ProgramState& program = aRequest.mProgram;
+  if (program.mEnded || mParts.mPrograms.IsEnding(state, aRequest.mId)) {
+    return Error{ ErrorKind::ProgramEnded, "the program has ended", "program" };
+  }
+  if (mParts.mContext.mDraining) {
+    return Error{ ErrorKind::Stopping, "the entry is stopping; try again", "" };
+  }
+  if (aRequest.mCall.mSeq != program.mNextSeq) {
+    return Error{ ErrorKind::TurnOutOfOrder,
+                  fmt::format("the next seq is {}", program.mNextSeq),
+                  "seq" };
+  }
+  if (program.mMaxTurns > 0 && program.mNextSeq > program.mMaxTurns) {
+    mOnTurnLimit(aRequest.mId);
+    return Error{ ErrorKind::TurnLimit, "the program has reached its turn limit", "seq" };
+  }
+  return std::nullopt;
+}
+
+std::optional<Error>
+CallIntake::CheckService(const Request& aRequest)
+{
+  if (auto stale = mParts.mTable.CheckAge()) {
+    return stale;
+  }
+  const Context& context = mParts.mContext;
+  if (!mParts.mRouter.IsKnown(aRequest.mCall.mService)) {
+    // Sidecars may not have connected yet shortly after the start.
+    const bool starting = context.mNow - context.mStarted < 2 * context.mSettings.mOwnerTimeout;
+    const ErrorKind kind = starting ? ErrorKind::NoTarget : ErrorKind::UnknownService;
+    return Error{ kind, "no target of this service is known", "service" };
+  }
+  const bool logDown =
+    mParts.mTable.LogDown() || mParts.mPartitions.IsTroubled(aRequest.mId.mPartition);
+  if (!aRequest.mCall.mRepeatable && logDown) {
+    return Error{ ErrorKind::LogUnavailable, "the log is not available; try again", "" };
+  }
+  if (context.mEffects.PendingBytes() >= context.mSettings.mMaxPendingBytes) {
+    return Error{ ErrorKind::LogUnavailable, "too many answers wait for the log; try again", "" };
+  }
+  return std::nullopt;
+}
+
+// Typical bytes of one token, for an estimate that decides only about the rate.
+static constexpr uint64_t kBytesPerToken = 4;
+
+static uint64_t
+EstimateTokens(const ledger::ProgramState& aProgram, const CallRequest& aRequest)
+{
+  if (aRequest.mKind == wire::CallKind::Tool) {
+    return 0;
+  }
+  uint64_t bytes = aRequest.mMessages.size();
+  for (const ledger::TurnIndex& turn : aProgram.mTurns) {
+    bytes += turn.mBytes;
+  }
+  return bytes / kBytesPerToken + aRequest.mMaxTokens;
+}
+
+bool
+CallIntake::Admit(const Request& aRequest, Call& aCall)
+{
+  const ledger::ProgramState& program = aRequest.mProgram;
+  const auto row =
+    mParts.mTable.FindRow(program.mAccount, program.mRegion, aRequest.mCall.mService);
+  if (!row) {
+    mAnswers.Fail(aRequest.mIncoming.mReply,
+                  { ErrorKind::RequestLimit,
+                    "no row of the table allows this account to call the service",
+                    "service" });
+    return false;
+  }
+  const world::Contract share = policy::ShareOf(row->mContract, mParts.mPeers.LiveEntries());
+  const uint64_t tokens = EstimateTokens(program, aRequest.mCall);
+  const auto refusal = mParts.mAdmission.Admit(row->mName, share, tokens, mParts.mContext.mNow);
+  if (refusal) {
+    ++mParts.mContext.mStats.mCallsRefused;
+    mAnswers.Fail(aRequest.mIncoming.mReply,
+                  { refusal->mKind, fmt::format("the limit of row {} is reached", row->mName), "" },
+                  std::nullopt,
+                  refusal->mRetryAfter);
+    return false;
+  }
+  aCall.mRow = row->mName;
+  aCall.mAdmittedTokens = tokens;
+  return true;
+}
+
+void
+CallIntake::Start(const Request& aRequest)
+{
+  const ledger::PartitionState& state = *mParts.mPartitions.Owned(aRequest.mId.mPartition);
+  auto created =
+    std::make_unique<Call>(aRequest.mId, aRequest.mCall, state.mEpoch, CallPhase::Loading);
+  if (!Admit(aRequest, *created)) {
+    return;
+  }
+  ++mParts.mContext.mStats.mCallsStarted;
+  mRunner.OnRequest();
+  Call& call = mParts.mCalls.Add(std::move(created));
+  Attach(call, aRequest.mIncoming, aRequest.mCall);
+  ProgramRuntime* runtime = mParts.mPrograms.Find(aRequest.mId);
+  mMemory.OnResumed(
+    std::chrono::duration_cast<base::Millis>(mParts.mContext.mNow - runtime->mActive));
+  runtime->mActive = mParts.mContext.mNow;
+  if (!call.IsModel()) {
+    call.mLife.Take(CallStep::Load);
+    mRunner.OnReady(call);
+    return;
+  }
+  call.mCharged = runtime->mCarryTokens;
+  mParts.mHistory.Load(aRequest.mId,
+                       aRequest.mProgram.mTurns,
+                       aRequest.mProgram.mKeys,
+                       [this, id = aRequest.mId, seq = aRequest.mCall.mSeq](auto aTexts) {
+                         OnHistory(id, seq, std::move(aTexts));
+                       });
+}
+
+void
+CallIntake::OnHistory(const base::ProgramId& aId,
+                      uint32_t aSeq,
+                      base::Result<std::vector<History::TextPtr>> aTexts)
+{
+  Call* call = mParts.mCalls.Find(aId, aSeq);
+  if (call == nullptr || call->mLife.Phase() != CallPhase::Loading) {
+    return;
+  }
+  if (!base::IsOk(aTexts)) {
+    mRunner.Fail(*call, base::ErrorOf(aTexts));
+    return;
+  }
+  for (const History::TextPtr& text : base::ValueOf(aTexts)) {
+    if (!text->mFragment.empty()) {
+      call->mPrompt += text->mFragment;
+      call->mPrompt += ',';
+    }
+    call->mPromptTokens =
+      text->mTotalTokens ? *text->mTotalTokens : call->mPromptTokens + text->mTokenBound;
+  }
+  call->mPrompt += call->mRequest.mMessages;
+  call->mPromptTokens += call->mRequest.mNewTokens;
+  call->mNeed = call->mPromptTokens + call->mRequest.mMaxTokens;
+  Reserve(*call);
+}
+
+void
+CallIntake::Reserve(Call& aCall)
+{
+  const ledger::PartitionState& state = *mParts.mPartitions.Owned(aCall.mProgram.mPartition);
+  const uint64_t present = state.mPrograms.at(aCall.mProgram).mReservedTokens;
+  const uint64_t wanted = aCall.mCharged + aCall.mNeed;
+  if (wanted <= present) {
+    aCall.mLife.Take(CallStep::Load);
+    mRunner.OnReady(aCall);
+    return;
+  }
+  if (wanted - present > mParts.mPrograms.FreeTokens(state, aCall.mProgram)) {
+    mRunner.Fail(
+      aCall,
+      { ErrorKind::BudgetExceeded,
+        fmt::format("the call may need {} tokens more than the budget has left",
+                    wanted - present - mParts.mPrograms.FreeTokens(state, aCall.mProgram)),
+        "max_tokens" });
+    return;
+  }
+  const bool queued = mParts.mRecorder.Reserve(aCall, wanted, [this](Call& aFolded) {
+    if (aFolded.mLife.Take(CallStep::Reserved)) {
+      mRunner.OnReady(aFolded);
+    }
+  });
+  if (!queued) {
+    mRunner.Fail(aCall, { ErrorKind::Overloaded, "too many records wait for the log", "" });
+    return;
+  }
+  aCall.mLife.Take(CallStep::Reserve);
+}
+
+void
+CallIntake::Attach(Call& aCall, const Incoming& aIncoming, const CallRequest& aRequest)
+{
+  Waiter waiter;
+  waiter.mReply = aIncoming.mReply;
+  waiter.mStream = aRequest.mStream || (aCall.IsModel() && aIncoming.mAcceptsStream);
+  waiter.mDeadline = DeadlineOf(aIncoming, aRequest);
+  aCall.mDeadline = std::max(aCall.mDeadline, waiter.mDeadline);
+  // A stream that joins a call without streaming gets one token event with the whole text.
+  aCall.mRequest.mStream = aCall.mRequest.mStream || waiter.mStream;
+  mParts.mDelivery.Attach(aCall, waiter, aIncoming.mLastEventId);
+}
+
+void
+CallIntake::Replay(const Incoming& aIncoming,
+                   const base::ProgramId& aId,
+                   const ledger::ProgramState& aProgram,
+                   uint32_t aSeq,
+                   bool aStream)
+{
+  const ledger::TurnIndex* turn = FindTurn(aProgram, aSeq);
+  if (turn == nullptr) {
+    mAnswers.Fail(aIncoming.mReply, { ErrorKind::CallNotFound, "the call has no answer", "seq" });
+    return;
+  }
+  const bool reset = !aIncoming.mLastEventId.empty();
+  const bool model = turn->mKind == wire::LogTurnKind::Model;
+  mParts.mHistory.Load(
+    aId,
+    { *turn },
+    aProgram.mKeys,
+    [this, reply = aIncoming.mReply, reset, stream = aStream && model](auto aTexts) {
+      if (base::IsOk(aTexts)) {
+        mParts.mDelivery.Replay(reply, *base::ValueOf(aTexts).front(), stream, reset);
+      } else {
+        mAnswers.Fail(reply, base::ErrorOf(aTexts), base::RunState::NotACall);
+      }
+    });
+}
+
+void
+CallIntake::Get(const Incoming& aIncoming, const base::ProgramId& aId, uint32_t aSeq)
+{
+  const ledger::PartitionState& state = *mParts.mPartitions.Owned(aId.mPartition);
+  const auto found = FindProgram(state, aId);
+  if (!base::IsOk(found)) {
+    mAnswers.Fail(aIncoming.mReply, base::ErrorOf(found));
+    return;
+  }
+  const ledger::ProgramState& program = *base::ValueOf(found);
+  if (FindTurn(program, aSeq) != nullptr) {
+    Replay(aIncoming, aId, program, aSeq, false);
+    return;
+  }
+  for (const auto& [name, key] : program.mKeys) {
+    if (key.mSeq == aSeq && key.mOutcome) {
+      AnswerOutcome(aIncoming, aId, program, name);
+      return;
+    }
+  }
+  if (const Call* call = mParts.mCalls.Find(aId, aSeq)) {
+    mAnswers.Json(
+      aIncoming.mReply,
+      200,
+      boost::json::object{ { "seq", aSeq }, { "state", PhaseName(call->mLife.Phase()) } });
+    return;
+  }
+  mAnswers.Fail(aIncoming.mReply, { ErrorKind::CallNotFound, "there is no such call", "seq" });
+}
+
+void
+CallIntake::Events(const Incoming& aIncoming, const base::ProgramId& aId, uint32_t aSeq)
+{
+  const ledger::PartitionState& state = *mParts.mPartitions.Owned(aId.mPartition);
+  const auto found = FindProgram(state, aId);
+  if (!base::IsOk(found)) {
+    mAnswers.Fail(aIncoming.mReply, base::ErrorOf(found));
+    return;
+  }
+  const ledger::ProgramState& program = *base::ValueOf(found);
+  if (FindTurn(program, aSeq) != nullptr) {
+    Replay(aIncoming, aId, program, aSeq, true);
+    return;
+  }
+  Call* call = mParts.mCalls.Find(aId, aSeq);
+  if (call == nullptr) {
+    mAnswers.Fail(aIncoming.mReply, { ErrorKind::CallNotFound, "there is no such call", "seq" });
+    return;
+  }
+  Waiter waiter;
+  waiter.mReply = aIncoming.mReply;
+  waiter.mStream = true;
+  waiter.mDeadline = std::max(call->mDeadline, mParts.mContext.mNow);
+  mParts.mDelivery.Attach(*call, waiter, aIncoming.mLastEventId);
+}
+
+}
--- a/modules/entry/src/call_life.cpp
+++ b/modules/entry/src/call_life.cpp
@@ -31,7 +31,8 @@
 
 template<CallStep Step>
 struct StepEvent
-{};
+{
+};
 
 using Loading = PhaseState<CallPhase::Loading>;
 using Reserving = PhaseState<CallPhase::Reserving>;
--- /dev/null
+++ b/modules/entry/src/call_recovery.cpp
@@ -0,0 +1,398 @@
+// Lost connections, replaced sidecars, seals after a takeover, and deadlines.
+#include "call_runner.h"
+
+#include "sycamore/base/log.h"
+#include "wire_ids.h"
+
+#include <utility>
+
+namespace sycamore::entry {
+
+using base::ErrorKind;
+using Phase = CallPhase;
+using Step = CallStep;
+using wire::LogOutcomeKind;
+
+// A repeatable call whose sidecar does not come back is sent elsewhere after this time: the silence
+// limit of a link plus the longest pause between dials.
+static constexpr base::Millis kSearchLimit{ 5000 };
+
+// A call without any usable target is given up after this time, so that its caller can choose to
+// wait or not.
+static constexpr base::Millis kTargetWait{ 5000 };
+
+// A question that got no answer on an open connection is asked again after this time.
+static constexpr base::Millis kAskAgain{ 2000 };
+
+// The call that a frame belongs to; null if it is of another attempt.
+Call*
+CallRunner::Match(const wire::CallIdT& aId, uint32_t aAttempt)
+{
+  const base::ProgramId program = ProgramOf(aId);
+  if (!aId.key.empty()) {
+    return mParts.mCalls.FindKey(program, aId.key);
+  }
+  Call* call = mParts.mCalls.Find(program, aId.seq);
+  const bool same =
+    call != nullptr && call->mRequest.mRepeatable && call->mAttempt.mNumber == aAttempt;
+  return same ? call : nullptr;
+}
+
+// Asks aPeer, which is the sidecar incarnation of the call's attempt, what became of the call.
+void
+CallRunner::Ask(Call& aCall, const Peer& aPeer)
+{
+  Attempt& attempt = aCall.mAttempt;
+  attempt.mRoute.mLink = aPeer.mLink;
+  attempt.mAskedAt = mParts.mContext.mNow;
+  auto id = ToCallId(aCall.mProgram, aCall.mRequest.mSeq, aCall.mRequest.mKey);
+  if (attempt.mSeal) {
+    ++mParts.mContext.mStats.mSeals;
+    wire::SealT seal;
+    seal.call = std::move(id);
+    seal.epoch = aCall.mEpoch;
+    seal.sidecar_incarnation = attempt.mRoute.mIncarnation;
+    mParts.mContext.mEffects.SendFrame(aPeer.mLink, wire::MakeFrame(std::move(seal)));
+  } else {
+    ++mParts.mContext.mStats.mLookups;
+    wire::LookupT lookup;
+    lookup.call = std::move(id);
+    lookup.attempt = attempt.mNumber;
+    mParts.mContext.mEffects.SendFrame(aPeer.mLink, wire::MakeFrame(std::move(lookup)));
+  }
+}
+
+void
+CallRunner::OnSidecarConnected(const Peer& aPeer)
+{
+  mParts.mCalls.ForEach([&](Call& aCall) {
+    if (aCall.mAttempt.mRoute.mSidecar == aPeer.mInstance) {
+      OnPeerOf(aCall, aPeer);
+    }
+  });
+}
+
+// Goes on with a call whose sidecar instance has a new connection.
+void
+CallRunner::OnPeerOf(Call& aCall, const Peer& aPeer)
+{
+  const Phase phase = aCall.mLife.Phase();
+  const bool gone = aPeer.mIncarnation != aCall.mAttempt.mRoute.mIncarnation;
+  if (phase == Phase::Intending) {
+    SendIntended(aCall);
+    return;
+  }
+  if (phase == Phase::Running) {
+    aCall.mAttempt.mLostAt = mParts.mContext.mNow;
+    aCall.mLife.Take(Step::Lose);
+  }
+  if (phase != Phase::Running && phase != Phase::Searching && phase != Phase::Sealing) {
+    return;
+  }
+  if (gone) {
+    OnGone(aCall);
+  } else {
+    Ask(aCall, aPeer);
+  }
+}
+
+// The sidecar incarnation of the attempt no longer exists.
+void
+CallRunner::OnGone(Call& aCall)
+{
+  if (aCall.mRequest.mRepeatable) {
+    RetryOrFail(
+      aCall, { ErrorKind::ConnectionLost, "the target's sidecar was replaced", "" }, true);
+    return;
+  }
+  aCall.mFinal = true;
+  Decide(aCall, LogOutcomeKind::Unknown, nullptr);
+}
+
+void
+CallRunner::OnLinkLost(transport::LinkId aLink)
+{
+  mParts.mCalls.ForEach([&](Call& aCall) {
+    if (aCall.mAttempt.mRoute.mLink != aLink || aCall.mLife.Phase() != Phase::Running) {
+      return;
+    }
+    aCall.mAttempt.mLostAt = mParts.mContext.mNow;
+    aCall.mLife.Take(Step::Lose);
+    const Peer* peer = mParts.mPeers.Sidecar(aCall.mAttempt.mRoute.mSidecar);
+    if (peer != nullptr) {
+      OnPeerOf(aCall, *peer);
+    }
+  });
+}
+
+void
+CallRunner::OnLookupReply(transport::LinkId aLink, const wire::LookupReplyT& aReply)
+{
+  Call* call = aReply.call ? Match(*aReply.call, aReply.attempt) : nullptr;
+  if (call == nullptr || call->mAttempt.mSeal || call->mLife.Phase() != Phase::Searching) {
+    return;
+  }
+  if (aReply.incarnation != call->mAttempt.mRoute.mIncarnation) {
+    OnGone(*call);
+    return;
+  }
+  switch (aReply.state) {
+    case wire::CallState::Queued:
+    case wire::CallState::Running:
+      call->mAttempt.mRoute.mLink = aLink;
+      // Tokens sent on the lost connection may be missing; the outcome holds the whole text.
+      call->mAttempt.mGap = true;
+      call->mLife.Take(Step::Find);
+      break;
+    case wire::CallState::Finished:
+      // The outcome follows.
+      break;
+    case wire::CallState::Sealed:
+      if (!call->mRequest.mRepeatable) {
+        Decide(*call, LogOutcomeKind::NotRun, nullptr);
+      }
+      break;
+    case wire::CallState::Unseen:
+      if (call->mRequest.mRepeatable) {
+        RetryOrFail(
+          *call, { ErrorKind::ConnectionLost, "the call was lost on its way", "" }, false);
+      } else if (Send(*call)) {
+        // The same incarnation runs one id at most once, so it may be sent there again.
+        call->mLife.Take(Step::Dispatch);
+      }
+      break;
+  }
+}
+
+// Spec: spec/intent.pml (seal).
+void
+CallRunner::OnSealReply(transport::LinkId, const wire::SealReplyT& aReply)
+{
+  Call* call = aReply.call ? Match(*aReply.call, 0) : nullptr;
+  if (call == nullptr || !call->mAttempt.mSeal || aReply.epoch != call->mEpoch) {
+    return;
+  }
+  const Phase phase = call->mLife.Phase();
+  if (phase != Phase::Sealing && phase != Phase::Searching) {
+    return;
+  }
+  if (aReply.incarnation != call->mAttempt.mRoute.mIncarnation) {
+    OnGone(*call);
+    return;
+  }
+  if (aReply.state == wire::CallState::Sealed) {
+    base::Log(base::LogEvent::IntentSealed,
+              "{} seq {}",
+              base::ToString(call->mProgram),
+              call->mRequest.mSeq);
+    Decide(*call, LogOutcomeKind::NotRun, nullptr);
+  }
+  if (aReply.state == wire::CallState::Queued || aReply.state == wire::CallState::Running) {
+    call->mAttempt.mFound = true;
+  }
+}
+
+static CallRequest
+RequestOfKey(const std::string& aKey, const ledger::KeyState& aState)
+{
+  CallRequest request;
+  request.mSeq = aState.mSeq;
+  request.mKind = wire::CallKind::Tool;
+  request.mDigest = aState.mRequestDigest;
+  request.mRepeatable = false;
+  request.mKey = aKey;
+  return request;
+}
+
+void
+CallRunner::OnAcquired(const ledger::PartitionState& aState)
+{
+  for (const auto& [id, program] : aState.mPrograms) {
+    for (const auto& [name, key] : program.mKeys) {
+      const bool open = !key.mOutcome || *key.mOutcome == LogOutcomeKind::Unknown;
+      if (!open) {
+        continue;
+      }
+      Call& call = mParts.mCalls.Add(
+        std::make_unique<Call>(id, RequestOfKey(name, key), aState.mEpoch, Phase::Sealing));
+      call.mOutcome = key.mOutcome;
+      call.mDeadline = mParts.mContext.mNow;
+      call.mMayHaveRun = true;
+      call.mAttempt.mSeal = true;
+      call.mAttempt.mRoute = { 0, key.mSidecar, key.mSidecarIncarnation, key.mTarget };
+      call.mAttempt.mLostAt = mParts.mContext.mNow;
+      const Peer* peer = mParts.mPeers.Sidecar(key.mSidecar);
+      if (peer != nullptr) {
+        OnPeerOf(call, *peer);
+      }
+    }
+  }
+}
+
+void
+CallRunner::OnLost(uint32_t aPartition)
+{
+  mParts.mCalls.ForEach([&](Call& aCall) {
+    if (aCall.mProgram.mPartition != aPartition) {
+      return;
+    }
+    if (aCall.mRequest.mRepeatable) {
+      Cancel(aCall);
+    }
+    const bool appended = aCall.mLife.Phase() == Phase::Committing;
+    const bool ran = aCall.mMayHaveRun || aCall.mPending || appended;
+    const ErrorKind kind = ran ? ErrorKind::OwnerUnavailable : ErrorKind::NotOwner;
+    Fail(aCall, { kind, "the program has a new owner; send the same request again", "" });
+  });
+}
+
+void
+CallRunner::OnProgramEnding(const base::ProgramId& aProgram)
+{
+  mParts.mCalls.ForEachOf(aProgram, [&](Call& aCall) {
+    const Phase phase = aCall.mLife.Phase();
+    const bool keyed = !aCall.mRequest.mRepeatable;
+    const bool recorded = phase == Phase::Committing && aCall.mAppended;
+    if (recorded || (keyed && phase != Phase::Ready)) {
+      return;
+    }
+    Cancel(aCall);
+    Fail(aCall,
+         { ErrorKind::ProgramEnded, "the program ended while the call was in progress", "" });
+  });
+}
+
+void
+CallRunner::Cancel(const Call& aCall)
+{
+  if (!aCall.mPending) {
+    return;
+  }
+  const Peer* peer = mParts.mPeers.Sidecar(aCall.mAttempt.mRoute.mSidecar);
+  if (peer == nullptr || peer->mIncarnation != aCall.mAttempt.mRoute.mIncarnation) {
+    return;
+  }
+  wire::CallCancelT cancel;
+  cancel.call = ToCallId(aCall.mProgram, aCall.mRequest.mSeq, aCall.mRequest.mKey);
+  cancel.attempt = aCall.mAttempt.mNumber;
+  mParts.mContext.mEffects.SendFrame(peer->mLink, wire::MakeFrame(std::move(cancel)));
+}
+
+bool
+CallRunner::IsReachable(const Call& aCall)
+{
+  const Peer* peer = mParts.mPeers.Sidecar(aCall.mAttempt.mRoute.mSidecar);
+  return peer != nullptr && peer->mIncarnation == aCall.mAttempt.mRoute.mIncarnation;
+}
+
+void
+CallRunner::OnTick()
+{
+  mParts.mCalls.ForEach([this](Call& aCall) {
+    const base::ProgramId program = aCall.mProgram;
+    const uint32_t seq = aCall.mRequest.mSeq;
+    if (mParts.mContext.mNow >= aCall.mDeadline) {
+      OnDeadline(aCall);
+    }
+    if (Call* call = mParts.mCalls.Find(program, seq)) {
+      OnTickOf(*call);
+    }
+  });
+}
+
+void
+CallRunner::OnTickOf(Call& aCall)
+{
+  const base::TimePoint now = mParts.mContext.mNow;
+  switch (aCall.mLife.Phase()) {
+    case Phase::Ready:
+      TryDispatch(aCall);
+      if (aCall.mLife.Phase() == Phase::Ready && now - aCall.mReadySince >= kTargetWait) {
+        Fail(aCall, aCall.mLastError);
+      }
+      break;
+    case Phase::Intending:
+      SendIntended(aCall);
+      break;
+    case Phase::Committing:
+      if (!aCall.mAppended && aCall.mOutcome) {
+        AppendOutcome(aCall);
+      } else if (!aCall.mAppended) {
+        CommitTurn(aCall);
+      }
+      break;
+    case Phase::Searching:
+      if (aCall.mRequest.mRepeatable && now - aCall.mAttempt.mLostAt >= kSearchLimit) {
+        RetryOrFail(
+          aCall, { ErrorKind::ConnectionLost, "the target's sidecar cannot be reached", "" }, true);
+        break;
+      }
+      [[fallthrough]];
+    case Phase::Sealing: {
+      const Peer* peer = mParts.mPeers.Sidecar(aCall.mAttempt.mRoute.mSidecar);
+      const bool due = now - aCall.mAttempt.mAskedAt >= kAskAgain;
+      if (peer != nullptr && due && !aCall.mAttempt.mFound) {
+        OnPeerOf(aCall, *peer);
+        break;
+      }
+      // The chain of the program goes on with an unknown outcome; a seal may still refine it.
+      const bool waited = now - aCall.mAttempt.mLostAt >= mParts.mContext.mSettings.mOwnerTimeout;
+      if (aCall.mLife.Phase() == Phase::Sealing && peer == nullptr && waited && !aCall.mOutcome) {
+        Decide(aCall, LogOutcomeKind::Unknown, nullptr);
+      }
+      break;
+    }
+    default:
+      break;
+  }
+}
+
+void
+CallRunner::OnDeadline(Call& aCall)
+{
+  const base::TimePoint now = mParts.mContext.mNow;
+  const Phase phase = aCall.mLife.Phase();
+  const base::Error late{ ErrorKind::DeadlineExceeded, "the deadline of the call has passed", "" };
+  if (phase == Phase::Committing) {
+    const bool keyed = !aCall.mRequest.mRepeatable;
+    const bool notRun = aCall.mOutcome == LogOutcomeKind::NotRun;
+    const base::RunState run = notRun  ? base::RunState::NotRun
+                               : keyed ? base::RunState::Unknown
+                                       : base::RunState::Uncommitted;
+    mParts.mDelivery.FailLate(
+      aCall,
+      now,
+      { ErrorKind::LogUnavailable, "the answer could not be committed in time", "" },
+      run);
+    return;
+  }
+  if (aCall.mRequest.mRepeatable) {
+    Cancel(aCall);
+    const bool waiting = phase == Phase::Ready || phase == Phase::Reserving;
+    Fail(aCall, waiting && !aCall.mMayHaveRun ? aCall.mLastError : late);
+    return;
+  }
+  if (phase == Phase::Ready || phase == Phase::Loading) {
+    Fail(aCall, aCall.mLastError);
+    return;
+  }
+  if (phase == Phase::Intending) {
+    // Nothing was sent and nothing will be: the fold of the intent leads to the outcome "not run".
+    mParts.mDelivery.FailLate(
+      aCall,
+      now,
+      { ErrorKind::LogUnavailable, "the call could not be recorded in time", "" },
+      base::RunState::NotRun);
+    return;
+  }
+  mParts.mDelivery.FailLate(
+    aCall,
+    now,
+    { ErrorKind::OutcomeUnknown, "the call is still running; it will not be repeated", "" },
+    base::RunState::Unknown);
+  if (phase == Phase::Running || phase == Phase::Searching) {
+    Decide(aCall, LogOutcomeKind::Unknown, nullptr);
+  }
+}
+
+}
--- /dev/null
+++ b/modules/entry/src/call_results.cpp
@@ -0,0 +1,399 @@
+// Outcomes of calls and what is made of them.
+#include "call_runner.h"
+
+#include "error_codes.h"
+#include "sycamore/base/log.h"
+#include "wire_ids.h"
+
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+#include <utility>
+
+namespace sycamore::entry {
+
+using base::ErrorKind;
+using base::LogEvent;
+using Phase = CallPhase;
+using Step = CallStep;
+using wire::LogOutcomeKind;
+
+static std::string
+TokenData(const std::string& aText)
+{
+  return boost::json::serialize(boost::json::object{ { "text", aText } });
+}
+
+void
+CallRunner::OnToken(transport::LinkId, const wire::CallTokenT& aToken)
+{
+  Call* call = aToken.call ? Match(*aToken.call, aToken.attempt) : nullptr;
+  if (call == nullptr || call->mLife.Phase() != Phase::Running) {
+    return;
+  }
+  Attempt& attempt = call->mAttempt;
+  if (attempt.mGap || aToken.index < attempt.mNextToken) {
+    return;
+  }
+  if (aToken.index > attempt.mNextToken) {
+    attempt.mGap = true;
+    return;
+  }
+  ++attempt.mNextToken;
+  attempt.mText += aToken.text;
+  mParts.mDelivery.Event(*call, "token", TokenData(aToken.text));
+}
+
+// Passes on what the streams have not seen of the complete text.
+void
+CallRunner::CompleteText(Call& aCall, const std::string& aContent)
+{
+  if (!aCall.mRequest.mStream) {
+    return;
+  }
+  const std::string& seen = aCall.mAttempt.mText;
+  if (!aContent.starts_with(seen)) {
+    mParts.mDelivery.Event(aCall, "reset", "{}");
+    mParts.mDelivery.Event(aCall, "token", TokenData(aContent));
+  } else if (seen.size() < aContent.size()) {
+    mParts.mDelivery.Event(aCall, "token", TokenData(aContent.substr(seen.size())));
+  }
+}
+
+void
+CallRunner::OnOutcome(transport::LinkId aLink, const wire::CallOutcomeT& aOutcome)
+{
+  if (!aOutcome.call) {
+    return;
+  }
+  Call* call = Match(*aOutcome.call, aOutcome.attempt);
+  if (call == nullptr) {
+    OnStray(aLink, aOutcome);
+    return;
+  }
+  call->mAttempt.mRoute.mLink = aLink;
+  const Phase phase = call->mLife.Phase();
+  if (!call->mRequest.mRepeatable) {
+    OnKeyedOutcome(*call, aOutcome);
+  } else if (phase == Phase::Running || phase == Phase::Searching) {
+    OnRepeatableOutcome(*call, aOutcome);
+  }
+}
+
+// An outcome that no call here waits for. The sidecar may forget it, unless it belongs to a
+// non-idempotent call that the log does not answer.
+void
+CallRunner::OnStray(transport::LinkId aLink, const wire::CallOutcomeT& aOutcome)
+{
+  const base::ProgramId program = ProgramOf(*aOutcome.call);
+  if (program.mPartition >= mParts.mPartitions.Count()) {
+    return;
+  }
+  const ledger::PartitionState* state = mParts.mPartitions.Owned(program.mPartition);
+  if (state == nullptr) {
+    return;
+  }
+  const std::string& key = aOutcome.call->key;
+  const auto found = state->mPrograms.find(program);
+  if (!key.empty() && found != state->mPrograms.end()) {
+    const auto keyState = found->second.mKeys.find(key);
+    if (keyState != found->second.mKeys.end() && !keyState->second.mOutcome) {
+      return;
+    }
+  }
+  wire::CallAckT ack;
+  ack.call = std::make_unique<wire::CallIdT>(*aOutcome.call);
+  ack.attempt = aOutcome.attempt;
+  mParts.mContext.mEffects.SendFrame(aLink, wire::MakeFrame(std::move(ack)));
+}
+
+static base::Error
+ErrorOfOutcome(const wire::CallOutcomeT& aOutcome)
+{
+  const ErrorKind kind = KindOfCode(aOutcome.error).value_or(ErrorKind::TargetFailed);
+  const std::string message =
+    aOutcome.message.empty() ? "the target gave no usable answer" : aOutcome.message;
+  return { kind, message, "" };
+}
+
+void
+CallRunner::OnRepeatableOutcome(Call& aCall, const wire::CallOutcomeT& aOutcome)
+{
+  aCall.mPending = false;
+  if (aOutcome.result == wire::CallResult::NotRun) {
+    Acknowledge(aCall);
+    RetryOrFail(aCall, ErrorOfOutcome(aOutcome), false);
+    return;
+  }
+  const bool toolAnswer = !aCall.IsModel() && aOutcome.status < 500;
+  const bool modelAnswer = aCall.IsModel() && aOutcome.status >= 200 && aOutcome.status < 300;
+  if (aOutcome.result == wire::CallResult::Answered && (toolAnswer || modelAnswer)) {
+    OnAnswered(aCall, aOutcome);
+    return;
+  }
+  Acknowledge(aCall);
+  const base::Error error = ErrorOfOutcome(aOutcome);
+  aCall.mMayHaveRun = true;
+  const bool refusedByTarget = aOutcome.result == wire::CallResult::Answered &&
+                               aOutcome.status >= 400 && aOutcome.status < 500 &&
+                               aOutcome.status != 429;
+  if (refusedByTarget) {
+    Fail(aCall, { error.mKind, fmt::format("the target answered {}", aOutcome.status), "" });
+    return;
+  }
+  RetryOrFail(aCall, error, true);
+}
+
+void
+CallRunner::OnAnswered(Call& aCall, const wire::CallOutcomeT& aOutcome)
+{
+  auto text = std::make_shared<TurnText>();
+  text->mSeq = aCall.mRequest.mSeq;
+  text->mRequestDigest = aCall.mRequest.mDigest;
+  text->mRequest = aCall.mRequest.mText;
+  text->mStatus = aOutcome.status;
+  if (aCall.IsModel()) {
+    const std::optional<std::string> content = ContentOf(aOutcome.body);
+    if (!content) {
+      Acknowledge(aCall);
+      RetryOrFail(aCall, { ErrorKind::TargetFailed, "the answer has no text", "" }, true);
+      return;
+    }
+    CompleteText(aCall, *content);
+    text->mAnswer = ModelAnswer(
+      *content, aOutcome.prompt_tokens, aOutcome.cached_tokens, aOutcome.generated_tokens);
+    const uint64_t cached = std::min(aOutcome.cached_tokens, aOutcome.prompt_tokens);
+    const uint64_t computed = aOutcome.prompt_tokens - cached + aOutcome.generated_tokens;
+    aCall.mUsedTokens = aCall.mCharged + computed;
+    aCall.mServedTokens = aOutcome.prompt_tokens + aOutcome.generated_tokens;
+    Stats& stats = mParts.mContext.mStats;
+    stats.mPromptTokens += aOutcome.prompt_tokens;
+    stats.mCachedTokens += cached;
+    stats.mGeneratedTokens += aOutcome.generated_tokens;
+  } else {
+    text->mKind = wire::LogTurnKind::Tool;
+    text->mAnswer = ToolAnswer(aOutcome.body, aOutcome.status);
+  }
+  DeriveText(*text);
+  aCall.mResult = std::move(text);
+  aCall.mLife.Take(Step::Decide);
+  CommitTurn(aCall);
+}
+
+void
+CallRunner::CommitTurn(Call& aCall)
+{
+  aCall.mAppended = mParts.mRecorder.Turn(aCall, [this](Call& aFolded) { OnTurnFolded(aFolded); });
+}
+
+void
+CallRunner::OnTurnFolded(Call& aCall)
+{
+  ++mParts.mContext.mStats.mCallsCommitted;
+  mParts.mHistory.Put(aCall.mProgram, aCall.mResult);
+  if (aCall.IsModel()) {
+    const std::string& target = aCall.mAttempt.mRoute.mTarget;
+    mParts.mRouter.NotePrefix(aCall.mProgram, target, aCall.mServedTokens);
+    if (ProgramRuntime* runtime = mParts.mPrograms.Find(aCall.mProgram)) {
+      runtime->mCarryTokens = 0;
+    }
+  }
+  aCall.mCharged = 0;
+  Acknowledge(aCall);
+  mParts.mDelivery.Done(aCall, *aCall.mResult);
+  Finish(aCall);
+}
+
+void
+CallRunner::OnKeyedOutcome(Call& aCall, const wire::CallOutcomeT& aOutcome)
+{
+  aCall.mPending = false;
+  if (aCall.mLife.Phase() == Phase::Committing) {
+    // The call was recorded as unknown in the meantime; the better outcome follows that record.
+    if (aCall.mOutcome == LogOutcomeKind::Unknown) {
+      aCall.mLater = std::make_shared<const wire::CallOutcomeT>(aOutcome);
+    }
+    return;
+  }
+  aCall.mLastError = ErrorOfOutcome(aOutcome);
+  if (aOutcome.result == wire::CallResult::NotRun) {
+    Decide(aCall, LogOutcomeKind::NotRun, nullptr);
+    return;
+  }
+  if (aOutcome.result == wire::CallResult::Unknown) {
+    aCall.mFinal = true;
+    Decide(aCall, LogOutcomeKind::Unknown, nullptr);
+    return;
+  }
+  auto text = std::make_shared<TurnText>();
+  text->mSeq = aCall.mRequest.mSeq;
+  text->mKind = wire::LogTurnKind::Tool;
+  text->mKey = aCall.mRequest.mKey;
+  text->mRequestDigest = aCall.mRequest.mDigest;
+  text->mRequest = aCall.mRequest.mText;
+  text->mStatus = aOutcome.status;
+  text->mAnswer = ToolAnswer(aOutcome.body, aOutcome.status);
+  DeriveText(*text);
+  Decide(aCall, LogOutcomeKind::Answered, std::move(text));
+}
+
+void
+CallRunner::Decide(Call& aCall, LogOutcomeKind aOutcome, std::shared_ptr<const TurnText> aResult)
+{
+  if (aCall.mOutcome == LogOutcomeKind::Unknown && aOutcome == LogOutcomeKind::Unknown) {
+    // The log already says so, and no better outcome can come.
+    if (aCall.mFinal) {
+      Acknowledge(aCall);
+      Finish(aCall);
+    }
+    return;
+  }
+  if (!aCall.mLife.Take(Step::Decide)) {
+    return;
+  }
+  aCall.mOutcome = aOutcome;
+  aCall.mResult = std::move(aResult);
+  AppendOutcome(aCall);
+}
+
+void
+CallRunner::AppendOutcome(Call& aCall)
+{
+  aCall.mAppended =
+    mParts.mRecorder.Outcome(aCall, [this](Call& aFolded) { OnOutcomeFolded(aFolded); });
+}
+
+void
+CallRunner::OnOutcomeFolded(Call& aCall)
+{
+  switch (*aCall.mOutcome) {
+    case LogOutcomeKind::Answered:
+      ++mParts.mContext.mStats.mCallsCommitted;
+      if (!aCall.mResult->mRequest.empty()) {
+        mParts.mHistory.Put(aCall.mProgram, aCall.mResult);
+      }
+      mParts.mDelivery.Done(aCall, *aCall.mResult);
+      break;
+    case LogOutcomeKind::NotRun:
+      mParts.mDelivery.Fail(
+        aCall,
+        { ErrorKind::SealedNotRun,
+          "the call did not run and its key is used up; repeat it with a new seq and key: " +
+            aCall.mLastError.mMessage,
+          "" });
+      break;
+    case LogOutcomeKind::Unknown:
+      ++mParts.mContext.mStats.mUnknownOutcomes;
+      base::Log(
+        LogEvent::OutcomeUnknown, "{} seq {}", base::ToString(aCall.mProgram), aCall.mRequest.mSeq);
+      mParts.mDelivery.Fail(
+        aCall, { ErrorKind::OutcomeUnknown, "the outcome is unknown, will not be repeated", "" });
+      break;
+  }
+  const bool refine = aCall.mOutcome == LogOutcomeKind::Unknown && !aCall.mFinal;
+  if (!refine) {
+    Acknowledge(aCall);
+    Finish(aCall);
+    return;
+  }
+  aCall.mLife.Take(Step::Refine);
+  aCall.mAttempt.mSeal = true;
+  if (aCall.mLater != nullptr) {
+    const auto later = std::exchange(aCall.mLater, nullptr);
+    OnKeyedOutcome(aCall, *later);
+  }
+}
+
+// Whether the error comes from a sidecar that is leaving. Such calls go elsewhere without a charge
+// to the retry budget: nothing ran, and the sidecar is no longer chosen.
+static bool
+IsLeavingError(ErrorKind aKind)
+{
+  return aKind == ErrorKind::TargetLeaving || aKind == ErrorKind::Stopping;
+}
+
+void
+CallRunner::RetryOrFail(Call& aCall, const base::Error& aError, bool aMayHaveRun)
+{
+  Context& context = mParts.mContext;
+  aCall.mLastError = aError;
+  aCall.mPending = false;
+  if (aMayHaveRun) {
+    aCall.mMayHaveRun = true;
+    aCall.mCharged += aCall.mNeed;
+  }
+  aCall.mExcluded.insert(aCall.mAttempt.mRoute.mTarget);
+  const bool late = context.mNow >= aCall.mDeadline;
+  if (late || (!IsLeavingError(aError.mKind) && !mRetries.TryRetry(context.mNow))) {
+    Fail(aCall, aError);
+    return;
+  }
+  ++context.mStats.mRetries;
+  base::Log(LogEvent::CallRetried,
+            "{} seq {}: {}",
+            base::ToString(aCall.mProgram),
+            aCall.mRequest.mSeq,
+            aError.mMessage);
+  if (!aCall.mAttempt.mText.empty()) {
+    mParts.mDelivery.Event(aCall, "reset", "{}");
+  }
+  aCall.mAttempt = Attempt{};
+  aCall.mLife.Take(Step::Retry);
+  if (!ReserveMore(aCall)) {
+    Fail(aCall, { ErrorKind::BudgetExceeded, "the budget does not allow another attempt", "" });
+    return;
+  }
+  if (aCall.mLife.Phase() == Phase::Ready) {
+    OnReady(aCall);
+  }
+}
+
+void
+CallRunner::Fail(Call& aCall, const base::Error& aError)
+{
+  const bool keyed = !aCall.mRequest.mRepeatable;
+  const bool ran = aCall.mMayHaveRun || aCall.mPending;
+  base::RunState run = base::RunState::NotRun;
+  if (ran) {
+    run = keyed ? base::RunState::Unknown : base::RunState::Uncommitted;
+  }
+  if (aCall.mPending && aCall.mRequest.mRepeatable) {
+    aCall.mCharged += aCall.mNeed;
+  }
+  mParts.mDelivery.Fail(aCall, aError, run);
+  Finish(aCall);
+}
+
+void
+CallRunner::Acknowledge(const Call& aCall)
+{
+  const Peer* peer = mParts.mPeers.Sidecar(aCall.mAttempt.mRoute.mSidecar);
+  if (peer == nullptr || peer->mIncarnation != aCall.mAttempt.mRoute.mIncarnation) {
+    return;
+  }
+  wire::CallAckT ack;
+  ack.call = ToCallId(aCall.mProgram, aCall.mRequest.mSeq, aCall.mRequest.mKey);
+  ack.attempt = aCall.mAttempt.mNumber;
+  mParts.mContext.mEffects.SendFrame(peer->mLink, wire::MakeFrame(std::move(ack)));
+}
+
+// Removes the call; tokens that it may have used without a record stay charged to the program.
+void
+CallRunner::Finish(Call& aCall)
+{
+  const base::TimePoint now = mParts.mContext.mNow;
+  if (!aCall.mRow.empty()) {
+    const uint64_t used = std::max(aCall.mServedTokens, aCall.mCharged);
+    mParts.mAdmission.Finish(aCall.mRow, aCall.mAdmittedTokens, used, now);
+  }
+  if (ProgramRuntime* runtime = mParts.mPrograms.Find(aCall.mProgram)) {
+    runtime->mActive = now;
+    // mCharged starts as the carried tokens, so it replaces them.
+    if (aCall.IsModel() && aCall.mCharged > 0) {
+      runtime->mCarryTokens = aCall.mCharged;
+    }
+  }
+  aCall.mLife.Take(Step::Finish);
+  mParts.mCalls.Remove(aCall.mProgram, aCall.mRequest.mSeq);
+}
+
+}
--- a/modules/entry/src/context.h
+++ b/modules/entry/src/context.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "stats.h"
 #include "sycamore/base/clock.h"
 #include "sycamore/entry/effects.h"
 #include "sycamore/settings/settings.h"
-#include "stats.h"
 
 #include <cstdint>
 #include <string>
--- /dev/null
+++ b/modules/entry/src/core_impl.cpp
@@ -0,0 +1,234 @@
+#include "core_impl.h"
+
+#include "dump.h"
+#include "sycamore/base/log.h"
+#include "wire_ids.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamore::entry {
+
+// Upper bound of the time that a request without a deadline of its own may take here.
+static constexpr base::Millis kLongestRequest{ 24LL * 3600 * 1000 };
+
+EntryCore::Impl::Impl(Context aContext)
+  : mContext(std::move(aContext))
+  , mAnswers(mContext)
+  , mPeers(mContext)
+  , mCommits(mContext)
+  , mPartitions(mContext, mPeers, mCommits, *this)
+  , mTable(mContext, mAnswers, mPeers)
+  , mPrograms(mContext)
+  , mRouter(mContext, mPeers)
+  , mHistory(mContext)
+  , mDelivery(mAnswers)
+  , mRecorder(mCalls, mCommits, mPartitions, mPrograms)
+  , mRunner(CallParts{ mContext,
+                       mCalls,
+                       mRecorder,
+                       mDelivery,
+                       mHistory,
+                       mPartitions,
+                       mPeers,
+                       mAdmission,
+                       mPrograms,
+                       mRouter,
+                       mTable })
+  , mMemory(mContext, mPeers, mPrograms, mRouter)
+  , mService(mRunner.Parts(), mAnswers, mCommits, mRunner, mMemory)
+  , mIntake(mRunner.Parts(),
+            mRunner,
+            mAnswers,
+            mMemory,
+            [this](const base::ProgramId& aId) { mService.EndByLimit(aId, "turn_limit"); })
+  , mForwarder(mContext, mAnswers, mPeers, mPartitions)
+  , mCheckpoints(mContext, mCommits, mPartitions, mPrograms)
+  , mMembership(mContext, mPeers, mPartitions, mTable)
+  , mApi(mContext,
+         mAnswers,
+         mPartitions,
+         mForwarder,
+         mTable,
+         mService,
+         mIntake,
+         ApiPages{ [this] { return Dump(); }, [this] { return MetricsText(); } })
+{
+  mContext.mEffects.SetLivePartitions(mPartitions.Count());
+}
+
+void
+EntryCore::Impl::Handle(CoreEvent aEvent, base::TimePoint aNow)
+{
+  const bool paused = aNow - mContext.mNow > mContext.mSettings.mOwnerTimeout;
+  mContext.mNow = aNow;
+  if (paused) {
+    base::Log(base::LogEvent::PartitionLost, "this process was paused; its streams are read again");
+    mPartitions.OnPause();
+  }
+  std::visit([this](const auto& aOne) { On(aOne); }, aEvent);
+}
+
+bool
+EntryCore::Impl::Drained() const
+{
+  return mContext.mDraining && mPartitions.OwnedCount() == 0 && mAnswers.OpenCount() == 0;
+}
+
+std::string
+EntryCore::Impl::Dump() const
+{
+  return DumpText(mContext, mPartitions, mPeers, mCalls, mForwarder, mHistory, mTable, mPrograms);
+}
+
+std::string
+EntryCore::Impl::MetricsText()
+{
+  Gauges gauges;
+  gauges.mOwnedPartitions = mPartitions.OwnedCount();
+  gauges.mPrograms = mPrograms.Size();
+  gauges.mCalls = mCalls.Size();
+  gauges.mOpenRequests = mAnswers.OpenCount();
+  gauges.mHistoryBytes = mHistory.Bytes();
+  gauges.mPendingBytes = mContext.mEffects.PendingBytes();
+  gauges.mConfigAgeSeconds = std::chrono::duration<double>(mTable.Age()).count();
+  return mMetrics.Text(mContext.mStats, gauges);
+}
+
+void
+EntryCore::Impl::OnAcquired(uint32_t aPartition)
+{
+  const ledger::PartitionState& state = *mPartitions.Owned(aPartition);
+  mPrograms.OnAcquired(state);
+  mCheckpoints.OnAcquired(aPartition);
+  mRunner.OnAcquired(state);
+  RunParked(aPartition);
+}
+
+void
+EntryCore::Impl::OnLost(uint32_t aPartition)
+{
+  mRunner.OnLost(aPartition);
+  mPrograms.OnLost(aPartition);
+  mHistory.OnLost(aPartition);
+  mRouter.ForgetPartition(aPartition);
+  mCheckpoints.OnLost(aPartition);
+}
+
+void
+EntryCore::Impl::OnOwnerKnown(uint32_t aPartition)
+{
+  RunParked(aPartition);
+}
+
+void
+EntryCore::Impl::RunParked(uint32_t aPartition)
+{
+  for (Incoming& incoming : mForwarder.TakeParked(aPartition)) {
+    if (mAnswers.IsOpen(incoming.mReply)) {
+      mApi.Handle(std::move(incoming));
+    }
+  }
+}
+
+void
+EntryCore::Impl::Accept(Incoming aIncoming)
+{
+  ++mContext.mStats.mRequests;
+  mAnswers.Open(aIncoming.mReply);
+  mApi.Handle(std::move(aIncoming));
+}
+
+void
+EntryCore::Impl::On(const http::Request& aRequest)
+{
+  Incoming incoming;
+  incoming.mReply = ReplyTo{ 0, aRequest.mId };
+  incoming.mMethod = aRequest.mMethod;
+  incoming.mPath = aRequest.mPath;
+  incoming.mBody = aRequest.mBody;
+  incoming.mLastEventId = aRequest.mLastEventId;
+  incoming.mAcceptsStream = aRequest.mAcceptsStream;
+  incoming.mDeadline = mContext.mNow + kLongestRequest;
+  Accept(std::move(incoming));
+}
+
+void
+EntryCore::Impl::On(const RequestClosed& aEvent)
+{
+  const ReplyTo reply{ 0, aEvent.mRequest };
+  mAnswers.Close(reply);
+  mForwarder.OnClosed(reply);
+}
+
+void
+EntryCore::Impl::On(const transport::PeerEvent& aEvent)
+{
+  std::visit([this](const auto& aOne) { OnPeer(aOne); }, aEvent);
+}
+
+void
+EntryCore::Impl::On(const ledger::LedgerEvent& aEvent)
+{
+  if (const auto* opened = std::get_if<ledger::PartitionOpened>(&aEvent)) {
+    mPartitions.OnOpened(*opened);
+  } else if (const auto* batch = std::get_if<ledger::BatchRead>(&aEvent)) {
+    mPartitions.OnBatch(*batch);
+  } else if (const auto* trouble = std::get_if<ledger::LogTrouble>(&aEvent)) {
+    mPartitions.OnTrouble(*trouble);
+  } else {
+    mHistory.OnRead(std::get<ledger::TurnRead>(aEvent));
+  }
+}
+
+void
+EntryCore::Impl::On(const table::TableEvent& aEvent)
+{
+  mTable.OnEvent(aEvent);
+}
+
+void
+EntryCore::Impl::On(const InstancesRead& aEvent)
+{
+  mMembership.OnInstances(aEvent);
+}
+
+void
+EntryCore::Impl::On(const Tick&)
+{
+  mPartitions.OnTick();
+  mRunner.OnTick();
+  mService.OnTick();
+  mMemory.OnTick();
+  mForwarder.OnTick();
+  mCheckpoints.OnTick();
+  if (mContext.mDraining) {
+    ReleaseIdle();
+  }
+  mMembership.OnTick();
+}
+
+void
+EntryCore::Impl::On(const DrainRequested&)
+{
+  if (!mContext.mDraining) {
+    base::Log(base::LogEvent::DrainStarted, "{} calls in progress", mCalls.Size());
+    mContext.mDraining = true;
+    ReleaseIdle();
+    mMembership.OnTick();
+  }
+}
+
+// Releases the partitions without calls in flight; records after a release would be ignored.
+void
+EntryCore::Impl::ReleaseIdle()
+{
+  for (uint32_t i = 0; i < mPartitions.Count(); ++i) {
+    const bool idle = !mCalls.AnyInFlight(i) && !mCommits.AnyOutstanding(i);
+    if (mPartitions.Owned(i) != nullptr && idle) {
+      mPartitions.Release(i);
+    }
+  }
+}
+
+}
--- a/modules/entry/src/forwarder.cpp
+++ b/modules/entry/src/forwarder.cpp
@@ -20,10 +20,7 @@
 // How long the answer of an owner may take beyond the request's deadline.
 static constexpr base::Millis kDeadlineSlack{ 2000 };
 
-Forwarder::Forwarder(Context& aContext,
-                     Answers& aAnswers,
-                     Peers& aPeers,
-                     PartitionMap& aPartitions)
+Forwarder::Forwarder(Context& aContext, Answers& aAnswers, Peers& aPeers, PartitionMap& aPartitions)
   : mContext(aContext)
   , mAnswers(aAnswers)
   , mPeers(aPeers)
@@ -62,15 +59,16 @@
   }
   const Peer* peer = mPeers.Entry(owner);
   const uint64_t id = mNextId++;
-  const bool sent = mContext.mEffects.SendFrame(
-    peer->mLink, wire::MakeFrame(ToWire(aIncoming, id, mContext.mNow)));
+  const bool sent =
+    mContext.mEffects.SendFrame(peer->mLink, wire::MakeFrame(ToWire(aIncoming, id, mContext.mNow)));
   if (!sent) {
     mAnswers.Fail(aIncoming.mReply,
                   { ErrorKind::Overloaded, "the owner of the program cannot be reached", "" });
     return;
   }
   ++mContext.mStats.mForwards;
-  mSent[id] = Sent{ aIncoming.mReply, peer->mLink, false, false, aIncoming.mDeadline + kDeadlineSlack };
+  mSent[id] =
+    Sent{ aIncoming.mReply, peer->mLink, false, false, aIncoming.mDeadline + kDeadlineSlack };
 }
 
 void
@@ -158,9 +156,8 @@
 void
 Forwarder::OnClosed(const ReplyTo& aReply)
 {
-  const auto found = std::find_if(mSent.begin(), mSent.end(), [&](const auto& aPair) {
-    return aPair.second.mReply == aReply;
-  });
+  const auto found = std::find_if(
+    mSent.begin(), mSent.end(), [&](const auto& aPair) { return aPair.second.mReply == aReply; });
   if (found == mSent.end()) {
     return;
   }
--- a/modules/entry/src/history.cpp
+++ b/modules/entry/src/history.cpp
@@ -191,8 +191,8 @@
     }
   }
   for (const uint64_t id : lost) {
-    Finish(id,
-           base::Error{ base::ErrorKind::NotOwner, "the partition has a new owner; try again", "" });
+    Finish(
+      id, base::Error{ base::ErrorKind::NotOwner, "the partition has a new owner; try again", "" });
   }
   auto it = mTexts.lower_bound({ base::ProgramId{ aPartition, 0, 0 }, 0 });
   while (it != mTexts.end() && it->first.first.mPartition == aPartition) {
--- /dev/null
+++ b/modules/entry/src/membership.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "context.h"
+#include "partition_map.h"
+#include "peers.h"
+#include "sycamore/entry/core_event.h"
+#include "table_state.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sycamore::entry {
+
+// Which peers are dialled, and what this entry tells them.
+class Membership
+{
+public:
+  Membership(Context& aContext, Peers& aPeers, PartitionMap& aPartitions, TableState& aTable);
+
+  // Dials what the list names; forgets what it has not named for a while.
+  void OnInstances(const InstancesRead& aEvent);
+
+  // Publishes hello and heartbeat, at once if what is owned or the drain state changed.
+  void OnTick();
+
+private:
+  bool IsOurs(const world::Instance& aInstance) const;
+  void ForgetOld();
+  wire::HelloT MakeHello() const;
+  wire::HeartbeatT MakeHeartbeat() const;
+
+  Context& mContext;
+  Peers& mPeers;
+  PartitionMap& mPartitions;
+  TableState& mTable;
+  std::map<std::string, base::TimePoint> mDialled; // By address: when last listed.
+  bool mListFailed = false;
+  base::TimePoint mNextPublish;
+  std::vector<uint64_t> mPublished; // Owned epochs and drain state at the last publication.
+};
+
+}
--- a/modules/entry/src/partition_map.cpp
+++ b/modules/entry/src/partition_map.cpp
@@ -15,6 +15,9 @@
 // Pause before the stream of a partition is read again after an unsuccessful attempt.
 static constexpr base::Millis kRetryPause{ 500 };
 
+// The ledger repeats a failing operation, and its report, at least every 2 s.
+static constexpr base::Millis kTroubleAge{ 5000 };
+
 PartitionMap::PartitionMap(Context& aContext,
                            Peers& aPeers,
                            Commits& aCommits,
@@ -142,8 +145,8 @@
   partition.mPhase = Phase::Claiming;
   ++mContext.mStats.mClaims;
   base::Log(LogEvent::PartitionClaiming, "partition {} epoch {}", aPartition, claim.epoch);
-  const bool queued =
-    mCommits.Claim(aPartition, std::move(claim), [this, aPartition](CommitResult aResult, uint64_t) {
+  const bool queued = mCommits.Claim(
+    aPartition, std::move(claim), [this, aPartition](CommitResult aResult, uint64_t) {
       Claimed(aPartition, aResult);
     });
   if (!queued) {
@@ -178,6 +181,7 @@
   if (partition.mState == nullptr || aEvent.mOffset < partition.mState->mNextOffset) {
     return;
   }
+  partition.mTrouble.reset();
   const ledger::Verdict verdict =
     ledger::ApplyBatch(*partition.mState, aEvent.mOffset, *aEvent.mBatch);
   mCommits.OnFolded(aEvent, verdict);
@@ -196,6 +200,27 @@
   }
 }
 
+void
+PartitionMap::OnTrouble(const ledger::LogTrouble& aEvent)
+{
+  assert(aEvent.mPartition < Count());
+  Partition& partition = mPartitions[aEvent.mPartition];
+  if (!partition.mTrouble) {
+    base::Log(LogEvent::LogAppendFailed, "partition {}: {}", aEvent.mPartition, aEvent.mMessage);
+  }
+  partition.mTrouble = mContext.mNow;
+  if (aEvent.mMustReopen) {
+    Reopen(aEvent.mPartition);
+  }
+}
+
+bool
+PartitionMap::IsTroubled(uint32_t aPartition) const
+{
+  const auto& trouble = mPartitions[aPartition].mTrouble;
+  return trouble && mContext.mNow - *trouble < kTroubleAge;
+}
+
 void
 PartitionMap::StepDown(uint32_t aPartition)
 {
--- a/modules/entry/src/partition_map.h
+++ b/modules/entry/src/partition_map.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,7 +30,8 @@
   std::string mOwner;                             // Of another entry; empty if not known.
   uint64_t mOwnerEpoch = 0;
   base::TimePoint mOwnerHeard;
-  base::TimePoint mNextTry; // Of opening or claiming.
+  base::TimePoint mNextTry;                // Of opening or claiming.
+  std::optional<base::TimePoint> mTrouble; // The last failure of the log.
 };
 
 // Told of changes of ownership.
@@ -70,8 +72,12 @@
 
   void OnOpened(const ledger::PartitionOpened& aEvent);
   void OnBatch(const ledger::BatchRead& aEvent);
+  void OnTrouble(const ledger::LogTrouble& aEvent);
   void OnHeartbeat(const Peer& aPeer);
 
+  // Whether appends or reads of aPartition failed recently.
+  bool IsTroubled(uint32_t aPartition) const;
+
   // Claims what is without an owner and first in order here.
   void OnTick();
 
--- a/modules/entry/src/peers.cpp
+++ b/modules/entry/src/peers.cpp
@@ -107,6 +107,14 @@
   return aPeer.mLeaving || mListedLeaving.contains(aPeer.mInstance);
 }
 
+void
+Peers::ForEach(const std::function<void(const Peer&)>& aFunction) const
+{
+  for (const auto& [link, peer] : mPeers) {
+    aFunction(peer);
+  }
+}
+
 std::vector<Peer*>
 Peers::Sidecars()
 {
--- a/modules/entry/src/peers.h
+++ b/modules/entry/src/peers.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -73,6 +74,8 @@
   // Whether aPeer takes no new work.
   bool IsLeaving(const Peer& aPeer) const;
 
+  void ForEach(const std::function<void(const Peer&)>& aFunction) const;
+
   // Current connections.
   std::vector<Peer*> Sidecars();
   std::vector<Peer*> Entries();
--- /dev/null
+++ b/modules/entry/src/program_book.cpp
@@ -0,0 +1,130 @@
+#include "program_book.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace sycamore::entry {
+
+ProgramBook::ProgramBook(Context& aContext)
+  : mContext(aContext)
+{
+}
+
+void
+ProgramBook::OnAcquired(const ledger::PartitionState& aState)
+{
+  for (const auto& [id, program] : aState.mPrograms) {
+    if (program.mEnded) {
+      continue;
+    }
+    ProgramRuntime& runtime = Add(id);
+    runtime.mBorn = mContext.mNow - program.mElapsed;
+    // A call that the former owner had in flight may have used the whole reservation.
+    runtime.mCarryTokens = program.mReservedTokens;
+  }
+}
+
+void
+ProgramBook::OnLost(uint32_t aPartition)
+{
+  const auto ours = [aPartition](const auto& aPair) {
+    return aPair.first.mPartition == aPartition;
+  };
+  std::erase_if(mPrograms, ours);
+  std::erase_if(mPending, ours);
+}
+
+ProgramRuntime&
+ProgramBook::Add(const base::ProgramId& aId)
+{
+  ProgramRuntime& runtime = mPrograms[aId];
+  runtime = ProgramRuntime{ mContext.mNow, mContext.mNow, false, 0 };
+  return runtime;
+}
+
+ProgramRuntime*
+ProgramBook::Find(const base::ProgramId& aId)
+{
+  const auto found = mPrograms.find(aId);
+  return found == mPrograms.end() ? nullptr : &found->second;
+}
+
+void
+ProgramBook::Remove(const base::ProgramId& aId)
+{
+  mPrograms.erase(aId);
+}
+
+void
+ProgramBook::ForEach(
+  const std::function<void(const base::ProgramId&, const ProgramRuntime&)>& aFunction) const
+{
+  for (const auto& [id, runtime] : mPrograms) {
+    aFunction(id, runtime);
+  }
+}
+
+bool
+ProgramBook::IsEnding(const ledger::PartitionState& aState, const base::ProgramId& aId)
+{
+  std::optional<base::ProgramId> id = aId;
+  while (id) {
+    const auto program = aState.mPrograms.find(*id);
+    const ProgramRuntime* runtime = Find(*id);
+    if (program == aState.mPrograms.end() || program->second.mEnded || runtime == nullptr ||
+        runtime->mEnding) {
+      return true;
+    }
+    id = program->second.mParent;
+  }
+  return false;
+}
+
+uint64_t
+ProgramBook::FreeTokens(const ledger::PartitionState& aState, const base::ProgramId& aId) const
+{
+  const base::ProgramId root = ledger::BudgetRoot(aState, aId);
+  const uint64_t free = ledger::FreeTokens(aState, root);
+  const auto pending = mPending.find(root);
+  const uint64_t taken = pending == mPending.end() ? 0 : pending->second;
+  return free - std::min(free, taken);
+}
+
+void
+ProgramBook::AddPending(const base::ProgramId& aRoot, uint64_t aTokens)
+{
+  if (aTokens > 0) {
+    mPending[aRoot] += aTokens;
+  }
+}
+
+void
+ProgramBook::RemovePending(const base::ProgramId& aRoot, uint64_t aTokens)
+{
+  const auto found = mPending.find(aRoot);
+  if (found == mPending.end()) {
+    return;
+  }
+  found->second -= std::min(found->second, aTokens);
+  if (found->second == 0) {
+    mPending.erase(found);
+  }
+}
+
+void
+ProgramBook::ForTree(const ledger::PartitionState& aState,
+                     const base::ProgramId& aId,
+                     const std::function<void(const base::ProgramId&)>& aFunction)
+{
+  const auto found = aState.mPrograms.find(aId);
+  if (found == aState.mPrograms.end()) {
+    return;
+  }
+  const auto children = found->second.mChildren;
+  aFunction(aId);
+  for (const base::ProgramId& child : children) {
+    ForTree(aState, child, aFunction);
+  }
+}
+
+}
--- /dev/null
+++ b/modules/entry/src/program_book.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "context.h"
+#include "sycamore/ledger/fold.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+namespace sycamore::entry {
+
+// What the owner knows of a program beyond the log.
+struct ProgramRuntime
+{
+  base::TimePoint mBorn;   // Now minus the program's age; a new owner restores it.
+  base::TimePoint mActive; // Last acceptance or end of a call.
+  bool mEnding = false;    // An end is appended; no other record may follow but outcomes.
+  uint64_t mCarryTokens =
+    0; // Possibly used by calls that were not committed; settled with the next.
+};
+
+// The programs of the partitions owned here, with the budget that records on the way to the log
+// already take.
+class ProgramBook
+{
+public:
+  explicit ProgramBook(Context& aContext);
+
+  // Restores the programs of a partition after a claim.
+  void OnAcquired(const ledger::PartitionState& aState);
+  void OnLost(uint32_t aPartition);
+
+  ProgramRuntime& Add(const base::ProgramId& aId);
+  // Null if the program is not live here.
+  ProgramRuntime* Find(const base::ProgramId& aId);
+  void Remove(const base::ProgramId& aId);
+  size_t Size() const { return mPrograms.size(); }
+  void ForEach(
+    const std::function<void(const base::ProgramId&, const ProgramRuntime&)>& aFunction) const;
+
+  // Whether the program or one of its ancestors is ending or has ended.
+  bool IsEnding(const ledger::PartitionState& aState, const base::ProgramId& aId);
+
+  // Tokens that a new record may reserve for aId beyond its present reservation.
+  uint64_t FreeTokens(const ledger::PartitionState& aState, const base::ProgramId& aId) const;
+
+  // A record that raises spent and reserved tokens of the tree of aRoot by aTokens was appended,
+  // or was folded or lost.
+  void AddPending(const base::ProgramId& aRoot, uint64_t aTokens);
+  void RemovePending(const base::ProgramId& aRoot, uint64_t aTokens);
+
+  // aId and the live sub-agents below it.
+  static void ForTree(const ledger::PartitionState& aState,
+                      const base::ProgramId& aId,
+                      const std::function<void(const base::ProgramId&)>& aFunction);
+
+private:
+  Context& mContext;
+  std::map<base::ProgramId, ProgramRuntime> mPrograms;
+  std::map<base::ProgramId, uint64_t> mPending; // By root.
+};
+
+}
--- a/modules/entry/src/router.cpp
+++ b/modules/entry/src/router.cpp
@@ -110,9 +110,8 @@
 void
 Router::ForgetPartition(uint32_t aPartition)
 {
-  std::erase_if(mPrefixes, [aPartition](const auto& aPair) {
-    return aPair.first.mPartition == aPartition;
-  });
+  std::erase_if(mPrefixes,
+                [aPartition](const auto& aPair) { return aPair.first.mPartition == aPartition; });
 }
 
 void
--- a/modules/entry/src/turn_text.cpp
+++ b/modules/entry/src/turn_text.cpp
@@ -117,13 +117,12 @@
   if (failure) {
     answer = aBody;
   }
-  return json::serialize(
-    json::object{ { "answer", std::move(answer) },
-                  { "status", aStatus },
-                  { "usage",
-                    json::object{ { "prompt_tokens", 0 },
-                                  { "cached_tokens", 0 },
-                                  { "generated_tokens", 0 } } } });
+  return json::serialize(json::object{ { "answer", std::move(answer) },
+                                       { "status", aStatus },
+                                       { "usage",
+                                         json::object{ { "prompt_tokens", 0 },
+                                                       { "cached_tokens", 0 },
+                                                       { "generated_tokens", 0 } } } });
 }
 
 std::string
--- /dev/null
+++ b/modules/entry/src/wire_ids.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "sycamore/base/program_id.h"
+#include "sycamore/wire/codec.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace sycamore::entry {
+
+// Program ids in their log and frame forms.
+std::unique_ptr<wire::LogProgramT>
+ToLog(const base::ProgramId& aId);
+
+std::unique_ptr<wire::ProgramT>
+ToFrame(const base::ProgramId& aId);
+
+base::ProgramId
+FromFrame(const wire::ProgramT& aProgram);
+
+std::unique_ptr<wire::CallIdT>
+ToCallId(const base::ProgramId& aId, uint32_t aSeq, const std::string& aKey);
+
+base::ProgramId
+ProgramOf(const wire::CallIdT& aCall);
+
+}
--- a/modules/policy/include/sycamore/policy/routing.h
+++ b/modules/policy/include/sycamore/policy/routing.h
@@ -43,7 +43,8 @@
 double
 RouteScore(const ReplicaView& aReplica, const RouteRequest& aRequest, const ReplicaSpeed& aSpeed);
 
-// Index of the usable replica with the lowest score; nothing if none is usable. aStart rotates ties.
+// Index of the usable replica with the lowest score; nothing if none is usable. aStart rotates
+// ties.
 std::optional<size_t>
 ChooseByScore(const std::vector<ReplicaView>& aReplicas,
               const RouteRequest& aRequest,
--- a/modules/policy/src/admission.cpp
+++ b/modules/policy/src/admission.cpp
@@ -85,11 +85,12 @@
 {
   const double requests = aShare.mRequestsPerSecond;
   const double tokens = aShare.mTokensPerSecond;
-  const auto [found, added] = mRows.try_emplace(aRow,
-                                                State{ TokenBucket(requests, BurstOf(requests), aNow),
-                                                       TokenBucket(tokens, BurstOf(tokens), aNow),
-                                                       0,
-                                                       aNow });
+  const auto [found, added] =
+    mRows.try_emplace(aRow,
+                      State{ TokenBucket(requests, BurstOf(requests), aNow),
+                             TokenBucket(tokens, BurstOf(tokens), aNow),
+                             0,
+                             aNow });
   State& state = found->second;
   if (!added) {
     state.mRequests.SetLimits(requests, BurstOf(requests), aNow);
--- a/modules/sidecar/src/call_request.cpp
+++ b/modules/sidecar/src/call_request.cpp
@@ -56,9 +56,8 @@
 {
   const auto& id = *aDispatch.call;
   const base::ProgramId program{ id.partition, id.creation_offset, id.random };
-  std::string fields = fmt::format(R"("program":"{}","priority":{})",
-                                   base::ToString(program),
-                                   EnginePriority(aDispatch));
+  std::string fields = fmt::format(
+    R"("program":"{}","priority":{})", base::ToString(program), EnginePriority(aDispatch));
   if (aTarget.mFence > 0) {
     fields += fmt::format(R"(,"fence":{})", aTarget.mFence);
   }
--- a/modules/sidecar/src/call_runner.h
+++ b/modules/sidecar/src/call_runner.h
@@ -32,7 +32,7 @@
   uint32_t mNextIndex = 0;
   bool mStreamBroken = false; // The stream could not be parsed; its outcome is a failure.
   std::string mStreamError;
-  bool mSuperseded = false;   // A newer attempt took its place; no outcome is sent.
+  bool mSuperseded = false; // A newer attempt took its place; no outcome is sent.
 };
 
 // Hooks of the calls into engine memory.
