Add the stand-ins log, instances, weights, engine and tool

Cause: all modules that talk to the platform need its HTTP forms to test against. Ruled out: one thread per stand-in (a process with nine engines would have nineteen threads); all stand-ins of a process share one thread and each is a state machine with time passed in. No automated tests yet.

--- a/modules/testbed/include/sycamore/testbed/json.h
+++ b/modules/testbed/include/sycamore/testbed/json.h
@@ -15,7 +15,9 @@
 
 // The string at aKey, or aDefault if the key is absent or no string.
 std::string
-TextField(const boost::json::object& aObject, std::string_view aKey, std::string_view aDefault = "");
+TextField(const boost::json::object& aObject,
+          std::string_view aKey,
+          std::string_view aDefault = "");
 
 // The number at aKey, or aDefault if the key is absent or no number of the type.
 uint64_t
--- a/modules/testbed/src/fault_kind.cpp
+++ b/modules/testbed/src/fault_kind.cpp
@@ -19,16 +19,18 @@
 std::string_view
 FaultKindName(FaultKind aKind)
 {
-  const auto* row = std::find_if(
-    std::begin(kNames), std::end(kNames), [aKind](const auto& aRow) { return aRow.first == aKind; });
+  const auto* row = std::find_if(std::begin(kNames), std::end(kNames), [aKind](const auto& aRow) {
+    return aRow.first == aKind;
+  });
   return row == std::end(kNames) ? std::string_view() : row->second;
 }
 
 std::optional<FaultKind>
 ParseFaultKind(std::string_view aName)
 {
-  const auto* row = std::find_if(
-    std::begin(kNames), std::end(kNames), [aName](const auto& aRow) { return aRow.second == aName; });
+  const auto* row = std::find_if(std::begin(kNames), std::end(kNames), [aName](const auto& aRow) {
+    return aRow.second == aName;
+  });
   return row == std::end(kNames) ? std::nullopt : std::optional<FaultKind>(row->first);
 }
 
--- a/modules/testbed/src/fault_rule.cpp
+++ b/modules/testbed/src/fault_rule.cpp
@@ -13,9 +13,10 @@
 static constexpr int kUnavailable = 503;
 static constexpr int kInternalError = 500;
 
-static constexpr std::array<std::string_view, 10> kKeys{
-  "kind", "method", "path", "contains", "skip", "count", "for_ms", "delay_ms", "status", "after_parts"
-};
+static constexpr std::array<std::string_view, 10> kKeys{ "kind",       "method",   "path",
+                                                         "contains",   "skip",     "count",
+                                                         "for_ms",     "delay_ms", "status",
+                                                         "after_parts" };
 
 static base::Error
 FieldError(std::string aMessage, std::string_view aField)
--- a/modules/testbed/src/standin_port.cpp
+++ b/modules/testbed/src/standin_port.cpp
@@ -126,7 +126,8 @@
                                            : base::Result<base::Unit>(base::ErrorOf(control));
   if (!base::IsOk(applied)) {
     const base::Error& error = base::ErrorOf(applied);
-    mSend(ErrorReply(aRequest.mId, kInvalid, "invalid_control", error.mMessage + ": " + error.mField));
+    mSend(
+      ErrorReply(aRequest.mId, kInvalid, "invalid_control", error.mMessage + ": " + error.mField));
     return;
   }
   base::Log(base::LogEvent::FaultInjected, "{}", aRequest.mBody);
--- /dev/null
+++ b/modules/testbed/standin/main.cpp
@@ -0,0 +1,192 @@
+#include "sycamore/base/log.h"
+#include "sycamore/http/endpoint.h"
+#include "sycamore/testbed/engine_standin.h"
+#include "sycamore/testbed/instances_standin.h"
+#include "sycamore/testbed/json.h"
+#include "sycamore/testbed/log_standin.h"
+#include "sycamore/testbed/standin_host.h"
+#include "sycamore/testbed/tool_standin.h"
+#include "sycamore/testbed/weights_standin.h"
+
+#include <csignal>
+#include <functional>
+#include <gflags/gflags.h>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+using namespace sycamore;
+
+DEFINE_string(listen, "127.0.0.1:0", "Endpoints, separated by commas; one stand-in on each.");
+DEFINE_int32(latency_ms, 0, "Delay of each request.");
+DEFINE_double(appends_per_second, 500, "log: appends of all streams together; 0: no limit.");
+DEFINE_uint64(retain_records, 0, "log: records kept per stream; 0: no limit.");
+DEFINE_uint64(retain_bytes, 256 << 20, "log: bytes kept per stream; 0: no limit.");
+DEFINE_int64(retain_age_ms, 0, "log: age of records kept; 0: no limit.");
+DEFINE_string(instances, "[]", "instances: JSON array of rows.");
+DEFINE_int32(lag_ms, 0, "instances: delay until a change is visible.");
+DEFINE_double(slots_per_second, 1, "weights: slots granted; 0: no limit.");
+DEFINE_double(burst, 1, "weights: slots granted at once.");
+DEFINE_int32(delay_ms, 0, "tool: duration of each run.");
+DEFINE_double(speed_up, 1, "engine: simulated time per real time.");
+DEFINE_double(decode_tokens_per_second, 50, "engine: rate of a call alone in the batch.");
+DEFINE_double(batch_slowdown, 0.02, "engine: longer decode step per further call.");
+DEFINE_double(prefill_tokens_per_second, 8000, "engine: prompt tokens computed.");
+DEFINE_uint64(prefill_chunk_tokens, 512, "engine: prompt tokens per step at most.");
+DEFINE_uint32(max_batch, 32, "engine: calls running at the same time.");
+DEFINE_uint32(max_queued, 10000, "engine: further calls are refused.");
+DEFINE_uint64(cache_tokens, 200000, "engine: memory in tokens.");
+DEFINE_uint64(answer_tokens, 0, "engine: length of an answer; 0: max_tokens.");
+DEFINE_bool(checks_fence, true, "engine: rejects old versions and fencing tokens.");
+DEFINE_int32(load_interval_ms, 500, "engine: age at which the load report is taken anew.");
+DEFINE_int32(cache_event_delay_ms, 500, "engine: delay of cache events.");
+DEFINE_double(cache_event_gap, 0.05, "engine: share of cache events that are lost.");
+DEFINE_int32(model_load_ms, 2000, "engine: time to load a model.");
+DEFINE_uint64(seed, 1, "engine: seed for the choice of lost events.");
+
+using Factory = std::function<std::unique_ptr<testbed::Standin>()>;
+
+static testbed::LogSettings
+LogSettingsOfFlags()
+{
+  testbed::LogSettings settings;
+  settings.mAppendsPerSecond = FLAGS_appends_per_second;
+  settings.mRetainRecords = FLAGS_retain_records;
+  settings.mRetainBytes = FLAGS_retain_bytes;
+  settings.mRetainAge = base::Millis(FLAGS_retain_age_ms);
+  return settings;
+}
+
+static testbed::EngineSettings
+EngineSettingsOfFlags()
+{
+  testbed::EngineSettings settings;
+  settings.mSpeedUp = FLAGS_speed_up;
+  settings.mDecodeTokensPerSecond = FLAGS_decode_tokens_per_second;
+  settings.mBatchSlowdown = FLAGS_batch_slowdown;
+  settings.mPrefillTokensPerSecond = FLAGS_prefill_tokens_per_second;
+  settings.mPrefillChunkTokens = FLAGS_prefill_chunk_tokens;
+  settings.mMaxBatch = FLAGS_max_batch;
+  settings.mMaxQueued = FLAGS_max_queued;
+  settings.mCacheTokens = FLAGS_cache_tokens;
+  settings.mAnswerTokens = FLAGS_answer_tokens;
+  settings.mChecksFence = FLAGS_checks_fence;
+  settings.mLoadInterval = base::Millis(FLAGS_load_interval_ms);
+  settings.mEventDelay = base::Millis(FLAGS_cache_event_delay_ms);
+  settings.mEventGap = FLAGS_cache_event_gap;
+  settings.mModelLoadTime = base::Millis(FLAGS_model_load_ms);
+  settings.mSeed = FLAGS_seed;
+  return settings;
+}
+
+static std::optional<boost::json::array>
+InstancesOfFlags()
+{
+  boost::json::error_code error;
+  const boost::json::value value = boost::json::parse(FLAGS_instances, error);
+  if (error || !value.is_array()) {
+    return std::nullopt;
+  }
+  return value.get_array();
+}
+
+// The function that makes the stand-ins of a sub-command; empty if the arguments are invalid.
+static Factory
+FactoryFor(std::string_view aKind)
+{
+  if (aKind == "log") {
+    return [] { return std::make_unique<testbed::LogStandin>(LogSettingsOfFlags()); };
+  }
+  if (aKind == "weights") {
+    return
+      [] { return std::make_unique<testbed::WeightsStandin>(FLAGS_slots_per_second, FLAGS_burst); };
+  }
+  if (aKind == "engine" && FLAGS_speed_up > 0) {
+    return [] { return std::make_unique<testbed::EngineStandin>(EngineSettingsOfFlags()); };
+  }
+  if (aKind == "tool") {
+    return [] { return std::make_unique<testbed::ToolStandin>(base::Millis(FLAGS_delay_ms)); };
+  }
+  const auto instances = InstancesOfFlags();
+  if (aKind == "instances" && instances) {
+    return [rows = *instances] {
+      return std::make_unique<testbed::InstancesStandin>(rows, base::Millis(FLAGS_lag_ms));
+    };
+  }
+  return {};
+}
+
+static std::vector<std::string>
+SplitAtCommas(std::string_view aText)
+{
+  std::vector<std::string> parts;
+  while (!aText.empty()) {
+    const std::string_view part = aText.substr(0, aText.find(','));
+    parts.emplace_back(part);
+    aText.remove_prefix(part.size() == aText.size() ? part.size() : part.size() + 1);
+  }
+  return parts;
+}
+
+static base::Result<http::Endpoint>
+AddStandin(testbed::StandinHost& aHost, const Factory& aFactory, std::string_view aListen)
+{
+  const auto endpoint = http::ParseEndpoint(aListen);
+  if (!base::IsOk(endpoint)) {
+    return endpoint;
+  }
+  return aHost.Add(aFactory(), base::ValueOf(endpoint), base::Millis(FLAGS_latency_ms));
+}
+
+// Serves the endpoints of --listen; the log lines are what test fixtures wait for.
+static bool
+Serve(testbed::StandinHost& aHost, const Factory& aFactory, std::string_view aKind)
+{
+  for (const std::string& listen : SplitAtCommas(FLAGS_listen)) {
+    const auto bound = AddStandin(aHost, aFactory, listen);
+    if (!base::IsOk(bound)) {
+      base::Log(base::LogEvent::SettingsInvalid, "{}: {}", listen, base::ErrorOf(bound).mMessage);
+      return false;
+    }
+    base::Log(base::LogEvent::StandinStarted,
+              "{} listening on {}",
+              aKind,
+              http::ToString(base::ValueOf(bound)));
+  }
+  aHost.Start();
+  base::Log(base::LogEvent::StandinStarted, "{} ready", aKind);
+  return true;
+}
+
+int
+main(int argc, char** argv)
+{
+  // Blocked before any thread starts, so that only sigwait receives them.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+  gflags::SetUsageMessage("standin log|instances|weights|engine|tool [flags]");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const std::string_view kind = argc == 2 ? argv[1] : "";
+  base::SetLogInstance("standin");
+  const Factory factory = FactoryFor(kind);
+  if (!factory) {
+    base::Log(base::LogEvent::SettingsInvalid,
+              "unknown stand-in \"{}\" or invalid flags; see standin --help",
+              kind);
+    return 2;
+  }
+  testbed::StandinHost host;
+  if (!Serve(host, factory, kind)) {
+    return 1;
+  }
+  int signal = 0;
+  sigwait(&signals, &signal);
+  host.Stop();
+  return 0;
+}
