Add the relay stand-in

Cause: established connections that stop delivering data, refused connections, partitions and slow links between regions have to be produced between real processes. Ruled out: dropping packets in the kernel, which needs privileges and affects other processes.

--- a/modules/testbed/standin/main.cpp
+++ b/modules/testbed/standin/main.cpp
@@ -4,6 +4,8 @@
 #include "sycamore/testbed/instances_standin.h"
 #include "sycamore/testbed/json.h"
 #include "sycamore/testbed/log_standin.h"
+#include "sycamore/testbed/relay.h"
+#include "sycamore/testbed/relay_standin.h"
 #include "sycamore/testbed/standin_host.h"
 #include "sycamore/testbed/tool_standin.h"
 #include "sycamore/testbed/weights_standin.h"
@@ -44,6 +46,8 @@
 DEFINE_int32(cache_event_delay_ms, 500, "engine: delay of cache events.");
 DEFINE_double(cache_event_gap, 0.05, "engine: share of cache events that are lost.");
 DEFINE_int32(model_load_ms, 2000, "engine: time to load a model.");
+DEFINE_string(forward, "", "relay: destinations, one for each endpoint of --listen.");
+DEFINE_string(control, "127.0.0.1:0", "relay: endpoint of POST /control and GET /stats.");
 DEFINE_uint64(seed, 1, "engine: seed for the choice of lost events.");
 
 using Factory = std::function<std::unique_ptr<testbed::Standin>()>;
@@ -130,36 +134,95 @@
   return parts;
 }
 
-static base::Result<http::Endpoint>
-AddStandin(testbed::StandinHost& aHost, const Factory& aFactory, std::string_view aListen)
+// Logs an invalid endpoint or one that cannot be bound.
+static void
+LogError(std::string_view aEndpoint, const base::Error& aError)
+{
+  base::Log(base::LogEvent::SettingsInvalid, "{}: {}", aEndpoint, aError.mMessage);
+}
+
+// Serves aStandin; the log line is what test fixtures wait for.
+static bool
+AddStandin(testbed::StandinHost& aHost,
+           std::unique_ptr<testbed::Standin> aStandin,
+           std::string_view aKind,
+           std::string_view aListen)
 {
   const auto endpoint = http::ParseEndpoint(aListen);
-  if (!base::IsOk(endpoint)) {
-    return endpoint;
+  const auto bound =
+    base::IsOk(endpoint)
+      ? aHost.Add(std::move(aStandin), base::ValueOf(endpoint), base::Millis(FLAGS_latency_ms))
+      : endpoint;
+  if (!base::IsOk(bound)) {
+    LogError(aListen, base::ErrorOf(bound));
+    return false;
   }
-  return aHost.Add(aFactory(), base::ValueOf(endpoint), base::Millis(FLAGS_latency_ms));
+  base::Log(base::LogEvent::StandinStarted,
+            "{} listening on {}",
+            aKind,
+            http::ToString(base::ValueOf(bound)));
+  return true;
 }
 
-// Serves the endpoints of --listen; the log lines are what test fixtures wait for.
 static bool
-Serve(testbed::StandinHost& aHost, const Factory& aFactory, std::string_view aKind)
+AddStandins(testbed::StandinHost& aHost, std::string_view aKind)
 {
+  const Factory factory = FactoryFor(aKind);
+  if (!factory) {
+    base::Log(base::LogEvent::SettingsInvalid,
+              "unknown stand-in \"{}\" or invalid flags; see standin --help",
+              aKind);
+    return false;
+  }
   for (const std::string& listen : SplitAtCommas(FLAGS_listen)) {
-    const auto bound = AddStandin(aHost, aFactory, listen);
-    if (!base::IsOk(bound)) {
-      base::Log(base::LogEvent::SettingsInvalid, "{}: {}", listen, base::ErrorOf(bound).mMessage);
+    if (!AddStandin(aHost, factory(), aKind, listen)) {
       return false;
     }
-    base::Log(base::LogEvent::StandinStarted,
-              "{} listening on {}",
-              aKind,
-              http::ToString(base::ValueOf(bound)));
   }
-  aHost.Start();
-  base::Log(base::LogEvent::StandinStarted, "{} ready", aKind);
   return true;
 }
 
+// Adds one link; returns the name that control requests use, or an empty string.
+static std::string
+AddLink(testbed::Relay& aRelay, std::string_view aListen, std::string_view aForward)
+{
+  const auto listen = http::ParseEndpoint(aListen);
+  const auto forward = http::ParseEndpoint(aForward);
+  if (!base::IsOk(listen) || !base::IsOk(forward)) {
+    LogError(aListen, base::ErrorOf(base::IsOk(listen) ? forward : listen));
+    return "";
+  }
+  const auto bound = aRelay.Add(base::ValueOf(listen), base::ValueOf(forward));
+  if (!base::IsOk(bound)) {
+    LogError(aListen, base::ErrorOf(bound));
+    return "";
+  }
+  const std::string name = http::ToString(base::ValueOf(bound));
+  base::Log(base::LogEvent::StandinStarted, "link listening on {}", name);
+  return name;
+}
+
+static bool
+AddRelay(testbed::StandinHost& aHost)
+{
+  const auto listens = SplitAtCommas(FLAGS_listen);
+  const auto forwards = SplitAtCommas(FLAGS_forward);
+  if (listens.size() != forwards.size()) {
+    base::Log(base::LogEvent::SettingsInvalid, "--listen and --forward differ in length");
+    return false;
+  }
+  const auto relay = std::make_shared<testbed::Relay>();
+  std::vector<std::string> names;
+  for (size_t i = 0; i < listens.size(); ++i) {
+    names.push_back(AddLink(*relay, listens[i], forwards[i]));
+    if (names.back().empty()) {
+      return false;
+    }
+  }
+  auto standin = std::make_unique<testbed::RelayStandin>(relay, std::move(names));
+  return AddStandin(aHost, std::move(standin), "relay", FLAGS_control);
+}
+
 int
 main(int argc, char** argv)
 {
@@ -170,21 +233,16 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 
-  gflags::SetUsageMessage("standin log|instances|weights|engine|tool [flags]");
+  gflags::SetUsageMessage("standin log|instances|weights|engine|tool|relay [flags]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   const std::string_view kind = argc == 2 ? argv[1] : "";
   base::SetLogInstance("standin");
-  const Factory factory = FactoryFor(kind);
-  if (!factory) {
-    base::Log(base::LogEvent::SettingsInvalid,
-              "unknown stand-in \"{}\" or invalid flags; see standin --help",
-              kind);
-    return 2;
-  }
   testbed::StandinHost host;
-  if (!Serve(host, factory, kind)) {
+  if (!(kind == "relay" ? AddRelay(host) : AddStandins(host, kind))) {
     return 1;
   }
+  host.Start();
+  base::Log(base::LogEvent::StandinStarted, "{} ready", kind);
   int signal = 0;
   sigwait(&signals, &signal);
   host.Stop();
