--- a/modules/base/include/sycamore/base/program_id.h
+++ b/modules/base/include/sycamore/base/program_id.h
@@ -17,7 +17,8 @@
   uint64_t mCreationOffset = 0;
   uint64_t mRandom = 0;
 
-  auto operator<=>(const ProgramId&) const = default;
+  // clang-tidy 14 takes the literal 0 in uses of <=> for a null pointer.
+  auto operator<=>(const ProgramId&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 // Text form of aId.
--- a/modules/ledger/src/ledger_reader.cpp
+++ b/modules/ledger/src/ledger_reader.cpp
@@ -38,7 +38,7 @@
         return aLeft.mNotBefore < aRight.mNotBefore;
       });
     if (next != mReads.end() && next->mNotBefore <= Clock::now()) {
-      ReadJob job = std::move(*next);
+      const ReadJob job = *next;
       mReads.erase(next);
       return job;
     }
