Test the Ledger against a log with faults

The tests found two faults, fixed here: a batch was appended again after the read-back had found a newer claim, and entries were still accepted for a moment after the receiver had folded that claim.

--- a/modules/ledger/include/sycamore/ledger/ledger.h
+++ b/modules/ledger/include/sycamore/ledger/ledger.h
@@ -74,7 +74,7 @@
   // Sets the checkpoint that later batches refer to.
   void SetCheckpoint(uint32_t aPartition, uint64_t aOffset);
 
-  // Bytes accepted and not yet reported by BatchRead.
+  // Bytes accepted and not yet known to be in the log.
   size_t PendingBytes() const;
 
   // Number of append requests sent so far.
--- a/modules/ledger/src/batch_writer.cpp
+++ b/modules/ledger/src/batch_writer.cpp
@@ -2,6 +2,8 @@
 
 #include "scan_stream.h"
 
+#include <algorithm>
+
 namespace sycamore::ledger {
 
 using base::ErrorKind;
@@ -20,7 +22,7 @@
   WriteStep step;
   step.mNext = aNext;
   if (aOut.mMayBeInLog) {
-    if (!ReadBack(aStream, aOut, step) || step.mDone) {
+    if (!ReadBack(aStream, aOut, step) || step.mDone || step.Supersedes(aOut)) {
       return step;
     }
     aOut.mMayBeInLog = false;
@@ -58,6 +60,14 @@
          aLeft.sequence == aRight.sequence;
 }
 
+static bool
+IsClaim(const wire::LogBatchT& aBatch)
+{
+  return std::any_of(aBatch.entries.begin(), aBatch.entries.end(), [](const auto& aEntry) {
+    return aEntry->record.AsLogClaim() != nullptr;
+  });
+}
+
 // Reads to the head; false if that failed, so that it is still unknown whether aOut is in the log.
 bool
 BatchWriter::ReadBack(const std::string& aStream, const OutstandingBatch& aOut, WriteStep& aStep)
@@ -65,6 +75,9 @@
   const auto scanned =
     ScanStream(mLog, aStream, aStep.mNext, [&](uint64_t aOffset, wire::LogBatchT aBatch) {
       const bool own = !aStep.mDone && SameId(aBatch, *aOut.mBatch);
+      if (IsClaim(aBatch) && aBatch.incarnation != aOut.mBatch->incarnation) {
+        aStep.mForeignClaim = std::max(aStep.mForeignClaim, aBatch.epoch);
+      }
       aStep.mFound.push_back(
         { aOffset, std::make_shared<const wire::LogBatchT>(std::move(aBatch)), own });
       aStep.mNext = aOffset + 1;
--- a/modules/ledger/src/batch_writer.h
+++ b/modules/ledger/src/batch_writer.h
@@ -36,7 +36,16 @@
   uint64_t mNext = 0;             // The first offset not read.
   bool mDone = false;             // The outstanding batch is among mFound.
   bool mTruncated = false;        // Retention dropped records that were not read.
+  uint64_t mForeignClaim = 0;     // Highest epoch that another process claims among mFound.
   std::optional<base::Error> mError;
+
+  // Whether the claims found exclude aOut, unless it lies before them.
+  bool Supersedes(const OutstandingBatch& aOut) const
+  {
+    const bool claiming = aOut.mBatch->sequence == 0;
+    return mForeignClaim > aOut.mBatch->epoch ||
+           (claiming && !mDone && mForeignClaim == aOut.mBatch->epoch);
+  }
 };
 
 // Appends batches and reads them back. Belongs to one thread.
@@ -47,7 +56,7 @@
   BatchWriter(platform::LogClient& aLog, std::atomic<uint64_t>& aAppendsSent);
 
   // Tries to bring aOut into aStream, of which everything below aNext was read. Never appends while
-  // an earlier append of aOut may have taken effect unseen.
+  // an earlier append of aOut may have taken effect unseen, or after reading a newer claim.
   WriteStep Write(const std::string& aStream, uint64_t aNext, OutstandingBatch& aOut);
 
 private:
--- a/modules/ledger/src/ledger_impl.h
+++ b/modules/ledger/src/ledger_impl.h
@@ -84,6 +84,7 @@
   void FormBatchLocked(uint32_t aPartition, PartitionLog& aLog);
   void FinishWrite(const WriteJob& aJob, const WriteStep& aStep);
   void UpdateLocked(PartitionLog& aLog, const WriteJob& aJob, const WriteStep& aStep);
+  void ReportError(const WriteJob& aJob, const std::string& aMessage);
   void CloseIncomplete(const WriteJob& aJob, const char* aMessage);
   base::Millis Window() const;
 
--- a/modules/ledger/src/ledger_writer.cpp
+++ b/modules/ledger/src/ledger_writer.cpp
@@ -97,26 +97,19 @@
   aLog.mOutstanding = std::move(out);
 }
 
-// The highest epoch that another process claims among what was read.
-static uint64_t
-ForeignClaim(const WriteStep& aStep, uint64_t aIncarnation)
-{
-  uint64_t epoch = 0;
-  for (const FoundBatch& found : aStep.mFound) {
-    const bool claims =
-      std::any_of(found.mBatch->entries.begin(),
-                  found.mBatch->entries.end(),
-                  [](const auto& aEntry) { return aEntry->record.AsLogClaim() != nullptr; });
-    if (claims && found.mBatch->incarnation != aIncarnation) {
-      epoch = std::max(epoch, found.mBatch->epoch);
-    }
-  }
-  return epoch;
-}
-
+// Updates the partition before the events go out, so that a receiver that folds a newer claim finds
+// the partition closed for appends.
 void
 Ledger::Impl::FinishWrite(const WriteJob& aJob, const WriteStep& aStep)
 {
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    PartitionLog& log = mPartitions.at(aJob.mPartition);
+    if (log.mGeneration != aJob.mGeneration) {
+      return;
+    }
+    UpdateLocked(log, aJob, aStep);
+  }
   for (const FoundBatch& found : aStep.mFound) {
     BatchRead read{ aJob.mPartition, found.mOffset, found.mBatch, {} };
     if (found.mOwn) {
@@ -126,43 +119,25 @@
       return;
     }
   }
-  const uint64_t epoch = aJob.mOut->mBatch->epoch;
-  if (aStep.mTruncated || ForeignClaim(aStep, mIncarnation) > epoch + 1) {
+  // A claim that skips epochs was made by a process that found records dropped before their
+  // checkpoint (PartitionOpened::mHistoryLost); the fold of this one cannot follow it.
+  if (aStep.mTruncated || aStep.mForeignClaim > aJob.mOut->mBatch->epoch + 1) {
     CloseIncomplete(aJob, "retention dropped records of the partition before they were read");
-    return;
-  }
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    PartitionLog& log = mPartitions.at(aJob.mPartition);
-    if (log.mGeneration != aJob.mGeneration) {
-      return;
-    }
-    UpdateLocked(log, aJob, aStep);
-  }
-  if (aStep.mError) {
-    base::Log(
-      base::LogEvent::LogAppendFailed, "partition {}: {}", aJob.mPartition, aStep.mError->mMessage);
-    Deliver(aJob.mPartition,
-            aJob.mGeneration,
-            LogTrouble{ aJob.mPartition, aStep.mError->mMessage, false });
+  } else if (aStep.mError) {
+    ReportError(aJob, aStep.mError->mMessage);
   }
 }
 
 void
 Ledger::Impl::UpdateLocked(PartitionLog& aLog, const WriteJob& aJob, const WriteStep& aStep)
 {
+  const bool lost = aStep.Supersedes(*aJob.mOut);
   aLog.mNextOffset = aStep.mNext;
-  const uint64_t foreign = ForeignClaim(aStep, mIncarnation);
-  const uint64_t epoch = aJob.mOut->mBatch->epoch;
-  const bool claiming = aJob.mOut->mBatch->sequence == 0;
-  // A claim that meets an equal one before it is lost as well. A later Claim of this process, made
-  // while this write was under way, is judged by its own read-back.
-  const bool lost = foreign > epoch || (claiming && !aStep.mDone && foreign == epoch);
   if (aStep.mDone || lost) {
     mPendingBytes -= aLog.mOutstanding->mBytes;
     aLog.mOutstanding.reset();
   }
-  if (lost && aLog.mEpoch <= foreign) {
+  if (lost) {
     aLog.mSuperseded = true;
     for (const QueuedEntry& entry : aLog.mQueue) {
       mPendingBytes -= entry.mBytes;
@@ -175,6 +150,13 @@
   }
 }
 
+void
+Ledger::Impl::ReportError(const WriteJob& aJob, const std::string& aMessage)
+{
+  base::Log(base::LogEvent::LogAppendFailed, "partition {}: {}", aJob.mPartition, aMessage);
+  Deliver(aJob.mPartition, aJob.mGeneration, LogTrouble{ aJob.mPartition, aMessage, false });
+}
+
 void
 Ledger::Impl::CloseIncomplete(const WriteJob& aJob, const char* aMessage)
 {
--- a/modules/ledger/tests/fold_test.cpp
+++ b/modules/ledger/tests/fold_test.cpp
@@ -46,8 +46,7 @@
   Own({ Created(kProgram, 100, 10) });
   BOOST_TEST((Fold(ClaimBatch(2, 22)) == Verdict::Applied));
   const auto before = mState.mPrograms;
-  BOOST_TEST(
-    (Fold(With(Batch(1, 11, 2), { Turn(kProgram, 1, 5, 10) })) == Verdict::NotOwner));
+  BOOST_TEST((Fold(With(Batch(1, 11, 2), { Turn(kProgram, 1, 5, 10) })) == Verdict::NotOwner));
   BOOST_TEST((mState.mPrograms == before));
   BOOST_TEST(mState.mOwner == "entry-22");
 }
@@ -206,8 +205,7 @@
   Own({ Created(kProgram, 100, 0) });
   Own({ Intent(kProgram, 1, "k") });
   Own({ Outcome(kProgram, 1, "k", LogOutcomeKind::Unknown), Turn(kProgram, 2, 0, 0) });
-  BOOST_TEST(
-    (Own({ Outcome(kProgram, 1, "k", LogOutcomeKind::Answered) }) == Verdict::Applied));
+  BOOST_TEST((Own({ Outcome(kProgram, 1, "k", LogOutcomeKind::Answered) }) == Verdict::Applied));
   BOOST_TEST(Program().mNextSeq == 3U);
   BOOST_REQUIRE(Program().mTurns.size() == 2U);
   BOOST_TEST(Program().mTurns.at(0).mKey == "k");
@@ -227,8 +225,7 @@
   RefusesOwn({ Reserved(kProgram, 1) });
   RefusesOwn({ Intent(kProgram, 2, "l") });
   RefusesOwn({ SubAgent(kChild, kProgram, 0) });
-  BOOST_TEST(
-    (Own({ Outcome(kProgram, 1, "k", LogOutcomeKind::Answered) }) == Verdict::Applied));
+  BOOST_TEST((Own({ Outcome(kProgram, 1, "k", LogOutcomeKind::Answered) }) == Verdict::Applied));
   BOOST_TEST((Program().mKeys.at("k").mOutcome == LogOutcomeKind::Answered));
   const auto before = mState.mPrograms;
   BOOST_TEST((Own({ Outcome(kProgram, 1, "k", LogOutcomeKind::NotRun),
--- /dev/null
+++ b/modules/ledger/tests/ledger_fixture.cpp
@@ -0,0 +1,113 @@
+#include "ledger_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <stdexcept>
+
+namespace sycamore::ledger::testing {
+
+using base::Millis;
+
+// Upper bound of a wait in a test; an event that never comes fails the test instead of hanging it.
+static constexpr base::Seconds kPatience{ 20 };
+
+Owner::Owner(FakeLog& aLog, uint64_t aIncarnation, size_t aMaxPendingBytes)
+  : mIncarnation(aIncarnation)
+{
+  LedgerSettings settings;
+  settings.mWindowMin = Millis(1);
+  settings.mRetryMin = Millis(2);
+  settings.mRetryMax = Millis(8);
+  settings.mMaxPendingBytes = aMaxPendingBytes;
+  mLedger = std::make_unique<Ledger>(
+    settings,
+    aIncarnation,
+    [&aLog] { return aLog.MakeClient(); },
+    [this](LedgerEvent aEvent) { return Push(std::move(aEvent)); });
+}
+
+Owner::~Owner()
+{
+  mLedger->Stop();
+}
+
+PartitionOpened
+Owner::Open()
+{
+  mLedger->Open(3);
+  PartitionOpened opened = AwaitEvent<PartitionOpened>();
+  mState = opened.mState;
+  return opened;
+}
+
+Verdict
+Owner::Claim()
+{
+  const uint64_t ticket = mNextTicket++;
+  BOOST_REQUIRE(mLedger->Claim(3, ClaimRecord(mState->mEpoch + 1, mIncarnation), ticket));
+  return Await(ticket);
+}
+
+std::optional<uint64_t>
+Owner::Append(LogEntryT aEntry)
+{
+  const uint64_t ticket = mNextTicket++;
+  if (!mLedger->Append(3, std::move(aEntry), ticket)) {
+    return std::nullopt;
+  }
+  return ticket;
+}
+
+Verdict
+Owner::Await(uint64_t aTicket)
+{
+  while (mVerdicts.count(aTicket) == 0) {
+    AwaitEvent<BatchRead>();
+  }
+  return mVerdicts.at(aTicket);
+}
+
+void
+Owner::SetSinkFull(bool aFull)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mSinkFull = aFull;
+}
+
+bool
+Owner::Push(LedgerEvent aEvent)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (mSinkFull) {
+    return false;
+  }
+  mEvents.push_back(std::move(aEvent));
+  mReady.notify_one();
+  return true;
+}
+
+LedgerEvent
+Owner::Pop()
+{
+  std::unique_lock<std::mutex> lock(mMutex);
+  if (!mReady.wait_until(
+        lock, std::chrono::system_clock::now() + kPatience, [this] { return !mEvents.empty(); })) {
+    throw std::runtime_error("no event of the ledger in time");
+  }
+  LedgerEvent event = std::move(mEvents.front());
+  mEvents.pop_front();
+  return event;
+}
+
+void
+Owner::Fold(const BatchRead& aRead)
+{
+  BOOST_REQUIRE(aRead.mOffset >= mState->mNextOffset);
+  const Verdict verdict = ApplyBatch(*mState, aRead.mOffset, *aRead.mBatch);
+  for (const uint64_t ticket : aRead.mTickets) {
+    // Each ticket is answered once.
+    BOOST_REQUIRE(mVerdicts.emplace(ticket, verdict).second);
+  }
+}
+
+}
