Fold the configuration stream and serve edits

All entries must hold the same configuration, accept the same one of several conflicting edits, survive lost append answers and the log's retention, and never return to an older table.

Fold is a function of records and offsets. An edit is accepted if it is valid and its base version is current. Versions are offsets plus 1, so a late copy of an edit never matches again, with one exception: a creation (base version 0) could be repeated after a deletion. Each edit therefore carries the offset its editor had read through, and a creation is refused if a deletion came later. Ruled out: remembering edit ids (unbounded, or bounded by a guess of how late a copy can be), and tombstones per row.

TableService reads and edits on one thread: catch up, append, read back by id, append again only after a read shows the edit absent, at most 5 s. Reads back off to at most 3 s with jitter, so that a table is in effect within 7 s of the log's return.

--- a/modules/table/include/sycamore/table/table_event.h
+++ b/modules/table/include/sycamore/table/table_event.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sycamore/base/clock.h"
 #include "sycamore/base/result.h"
 #include "sycamore/table/table.h"
 
@@ -14,6 +15,7 @@
 struct TableConfirmed
 {
   std::shared_ptr<const Table> mTable;
+  base::TimePoint mReadAt{}; // Before the read was sent; the age of the table counts from here.
 };
 
 // The log could not be read.
@@ -23,7 +25,7 @@
 };
 
 // The answer to TableService::Edit: the new version, or EditConflict, InvalidEdit, LogUnavailable
-// (surely not applied) or Uncommitted (may be applied; read the table).
+// (surely not applied), Stopping (not applied) or Uncommitted (may be applied; read the table).
 struct EditDone
 {
   uint64_t mTicket = 0;
--- a/modules/table/include/sycamore/table/table_service.h
+++ b/modules/table/include/sycamore/table/table_service.h
@@ -2,37 +2,27 @@
 
 #include "sycamore/base/clock.h"
 #include "sycamore/platform/log_client.h"
+#include "sycamore/table/edit.h"
 #include "sycamore/table/table_event.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
-#include <string>
 
 namespace sycamore::table {
 
-// A change of one row or of one service's order. Exactly one of the two is named.
-struct Edit
-{
-  std::optional<RowKey> mRow;
-  std::optional<std::string> mService;
-  uint64_t mBaseVersion = 0; // Version of the row or order the edit is based on; 0: new.
-  std::optional<world::Contract> mContract; // Empty deletes the row.
-  std::optional<Order> mOrder;              // Empty deletes the order.
-};
-
-// Checks fields (negative or non-finite limits, zero weight, empty names); ErrorKind::InvalidEdit
-// with the field's name.
-base::Result<base::Unit>
-ValidateEdit(const Edit& aEdit);
-
-// Reads the config stream every aPoll and appends edits, on one thread.
+// Reads the config stream every aPoll and appends edits, on one thread. Appends a snapshot when
+// none was seen for a quarter to three eighths of aRetention. Publishes only complete tables, each
+// at least as new as the one before.
 class TableService
 {
 public:
-  // aSink receives events on the service's thread and must not block.
+  // aSink receives events on the service's thread and must not block; it returns false if it cannot
+  // take the event now. An EditDone is then offered again; the other events are replaced by the
+  // next poll.
   TableService(std::unique_ptr<platform::LogClient> aLog,
                base::Millis aPoll,
+               base::Millis aRetention,
                std::function<bool(TableEvent)> aSink);
   ~TableService();
   TableService(const TableService&) = delete;
