Run dispatched calls in the sidecar core: streams, outcomes, loads, drain

Cause: entries need a sidecar that accepts calls and answers exactly. The core is one state machine with time passed in; every effect goes through SidecarOutput, so that the tests drive it without threads. Ruled out: parsing request bodies to add the engine's fields, since bodies hold whole histories; members are appended to the text instead.

--- a/modules/policy/include/sycamore/policy/ordering.h
+++ b/modules/policy/include/sycamore/policy/ordering.h
@@ -14,9 +14,9 @@
 {
   uint64_t mArrival = 0; // Increases with each arrival; unique.
   base::TimePoint mQueuedAt;
-  double mWeight = 1;            // Of the account; not positive counts as 1.
-  uint64_t mAttainedTokens = 0;  // Service of the program so far.
-  bool mPrefixLocal = false;     // The target holds a prefix of the program.
+  double mWeight = 1;           // Of the account; not positive counts as 1.
+  uint64_t mAttainedTokens = 0; // Service of the program so far.
+  bool mPrefixLocal = false;    // The target holds a prefix of the program.
 };
 
 struct OrderingRules
--- a/modules/policy/src/ordering.cpp
+++ b/modules/policy/src/ordering.cpp
@@ -34,9 +34,8 @@
 static auto
 OrderingKey(const WaitingCall& aCall, const OrderingRules& aRules, TimePoint aNow)
 {
-  const double step = aRules.mFifo
-                        ? 0
-                        : std::floor(OrderingScore(aCall, aRules, aNow) / aRules.mTieTokens);
+  const double step =
+    aRules.mFifo ? 0 : std::floor(OrderingScore(aCall, aRules, aNow) / aRules.mTieTokens);
   const bool remote = !aRules.mFifo && !aCall.mPrefixLocal;
   return std::tuple(step, remote, aCall.mArrival);
 }
--- a/modules/sidecar/include/sycamore/sidecar/call_book.h
+++ b/modules/sidecar/include/sycamore/sidecar/call_book.h
@@ -15,9 +15,9 @@
 
 struct CallBookLimits
 {
-  size_t mMaxRecords = 8192;                  // Active, finished and sealed calls.
+  size_t mMaxRecords = 8192;                   // Active, finished and sealed calls.
   size_t mMaxOutcomeBytes = size_t{ 8 } << 20; // Stored outcomes; repeatable ones go first.
-  size_t mMaxRecentAcked = 4096;              // Non-idempotent ids remembered after their ack.
+  size_t mMaxRecentAcked = 4096;               // Non-idempotent ids remembered after their ack.
   size_t mMaxPartitions = 4096;
   // An unacknowledged outcome is discarded for space only if its owner was replaced and it is older
   // than this. Seals of its partition are then answered "unknown".
--- a/modules/sidecar/include/sycamore/sidecar/config_age.h
+++ b/modules/sidecar/include/sycamore/sidecar/config_age.h
@@ -9,7 +9,7 @@
 
 struct ConfigAgeLimits
 {
-  base::Millis mContact{ 7000 };    // Longest time without word from any entry.
+  base::Millis mContact{ 7000 };     // Longest time without word from any entry.
   base::Millis mConfirmed{ 300000 }; // Longest time since the log confirmed the table.
 };
 
--- a/modules/sidecar/src/answer_parser.cpp
+++ b/modules/sidecar/src/answer_parser.cpp
@@ -163,9 +163,8 @@
                        { "total_tokens", usage.mPromptTokens + usage.mGeneratedTokens },
                        { "prompt_tokens_details",
                          json::object{ { "cached_tokens", usage.mCachedTokens } } } };
-  return json::serialize(json::object{ { "object", "chat.completion" },
-                                       { "choices", json::array{ choice } },
-                                       { "usage", counts } });
+  return json::serialize(json::object{
+    { "object", "chat.completion" }, { "choices", json::array{ choice } }, { "usage", counts } });
 }
 
 Result<AnswerUsage>
--- a/modules/sidecar/src/call_book.cpp
+++ b/modules/sidecar/src/call_book.cpp
@@ -293,10 +293,7 @@
 }
 
 SealState
-CallBook::SealUnseen(const CallKey& aKey,
-                     uint64_t aEpoch,
-                     uint64_t aIncarnation,
-                     TimePoint aNow)
+CallBook::SealUnseen(const CallKey& aKey, uint64_t aEpoch, uint64_t aIncarnation, TimePoint aNow)
 {
   const bool forgotten = mPartitions.at(aKey.mProgram.mPartition).mForgotOutcome;
   if (aIncarnation != mIncarnation || forgotten || mAcked.contains(aKey)) {
--- a/modules/sidecar/src/call_request.cpp
+++ b/modules/sidecar/src/call_request.cpp
@@ -1,5 +1,6 @@
 #include "call_request.h"
 
+#include <algorithm>
 #include <cassert>
 #include <fmt/format.h>
 
@@ -56,9 +57,8 @@
 {
   const auto& id = *aDispatch.call;
   const base::ProgramId program{ id.partition, id.creation_offset, id.random };
-  std::string fields = fmt::format(R"("program":"{}","priority":{})",
-                                   base::ToString(program),
-                                   EnginePriority(aDispatch));
+  std::string fields = fmt::format(
+    R"("program":"{}","priority":{})", base::ToString(program), EnginePriority(aDispatch));
   if (aTarget.mFence > 0) {
     fields += fmt::format(R"(,"fence":{})", aTarget.mFence);
   }
--- a/modules/sidecar/src/call_results.cpp
+++ b/modules/sidecar/src/call_results.cpp
@@ -123,9 +123,7 @@
 }
 
 void
-CallRunner::OnDone(const Ticket& aTicket,
-                   const http::ClientResponse& aResponse,
-                   TimePoint aNow)
+CallRunner::OnDone(const Ticket& aTicket, const http::ClientResponse& aResponse, TimePoint aNow)
 {
   const auto found = mCalls.find(aTicket.mCall);
   assert(found != mCalls.end());
--- a/modules/sidecar/src/call_runner.cpp
+++ b/modules/sidecar/src/call_runner.cpp
@@ -136,7 +136,7 @@
       SendRefusal(peer, aDispatch, { admission.mError, "the sidecar did not admit the call", "" });
       return;
     case AdmitDecision::Replace:
-      Supersede(key, aNow);
+      Supersede(key);
       break;
     case AdmitDecision::Run:
       break;
@@ -209,7 +209,7 @@
 
 // Cancels the present attempt of a repeatable call without an outcome.
 void
-CallRunner::Supersede(const CallKey& aKey, TimePoint aNow)
+CallRunner::Supersede(const CallKey& aKey)
 {
   const auto current = mCurrent.find(aKey);
   if (current == mCurrent.end()) {
@@ -228,7 +228,7 @@
   if (call.mLife.Apply(CallStep::Cancel)) {
     mState.mOutput.CancelRequest(call.mTicket);
   }
-  Log(LogEvent::CallRetried, "a newer attempt replaces a running call {}", aNow - call.mStartedAt);
+  Log(LogEvent::CallRetried, "{}: a newer attempt replaces this", base::ToString(aKey.mProgram));
 }
 
 uint64_t
--- a/modules/sidecar/src/call_runner.h
+++ b/modules/sidecar/src/call_runner.h
@@ -32,7 +32,7 @@
   uint32_t mNextIndex = 0;
   bool mStreamBroken = false; // The stream could not be parsed; its outcome is a failure.
   std::string mStreamError;
-  bool mSuperseded = false;   // A newer attempt took its place; no outcome is sent.
+  bool mSuperseded = false; // A newer attempt took its place; no outcome is sent.
 };
 
 // Hooks of the calls into engine memory.
@@ -90,7 +90,7 @@
   base::Result<size_t> CheckDispatch(const wire::DispatchT& aDispatch) const;
   void SendRefusal(uint64_t aPeer, const wire::DispatchT& aDispatch, const base::Error& aError);
   void AnswerDuplicate(uint64_t aPeer, const wire::DispatchT& aDispatch);
-  void Supersede(const CallKey& aKey, base::TimePoint aNow);
+  void Supersede(const CallKey& aKey);
   uint64_t AddCall(uint64_t aPeer, const wire::DispatchT& aDispatch, base::TimePoint aNow);
   void Enqueue(uint64_t aNumber, base::TimePoint aNow);
   void Dequeue(uint64_t aNumber);
--- a/modules/sidecar/src/core_state.h
+++ b/modules/sidecar/src/core_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sycamore/base/program_id.h"
 #include "sycamore/settings/settings.h"
 #include "sycamore/sidecar/peer_table.h"
 #include "sycamore/sidecar/sidecar_counters.h"
@@ -28,8 +29,8 @@
 {
   TicketPurpose mPurpose = TicketPurpose::Call;
   size_t mTarget = 0;
-  uint64_t mCall = 0;            // For Call: number of the call.
-  base::ProgramId mProgram;      // For MemoryRelease.
+  uint64_t mCall = 0;       // For Call: number of the call.
+  base::ProgramId mProgram; // For MemoryRelease.
   base::TimePoint mRequestedAt;
 };
 
@@ -38,11 +39,11 @@
 {
   settings::TargetSettings mSettings;
   TargetHealth mHealth{ TargetHealthRules{} };
-  wire::TargetLoadT mReported;                 // As last polled, without calls queued here.
+  wire::TargetLoadT mReported; // As last polled, without calls queued here.
   std::optional<base::TimePoint> mReportedAt;
   bool mPolling = false;
-  uint32_t mRunning = 0;                       // Calls given to the target and not reported.
-  uint64_t mFence = 0;                         // Highest order version known.
+  uint32_t mRunning = 0; // Calls given to the target and not reported.
+  uint64_t mFence = 0;   // Highest order version known.
 
   bool IsEngine() const { return mSettings.mTarget.mKind == world::TargetKind::Engine; }
 };
--- /dev/null
+++ b/modules/sidecar/src/load_poller.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "core_state.h"
+
+#include "sycamore/http/client.h"
+
+namespace sycamore::sidecar {
+
+// Reads the load of each engine and keeps its last report.
+class LoadPoller
+{
+public:
+  explicit LoadPoller(CoreState& aState);
+
+  // Starts the polls that are due.
+  void OnTick(base::TimePoint aNow);
+  void OnDone(const Ticket& aTicket, const http::ClientResponse& aResponse, base::TimePoint aNow);
+  void OnFailed(const Ticket& aTicket, base::TimePoint aNow);
+
+private:
+  CoreState& mState;
+  std::vector<base::TimePoint> mNextPoll; // By target.
+};
+
+}
