--- a/modules/sidecar/src/call_request.cpp
+++ b/modules/sidecar/src/call_request.cpp
@@ -1,5 +1,6 @@
 #include "call_request.h"
 
+#include <algorithm>
 #include <cassert>
 #include <fmt/format.h>
 
--- a/modules/sidecar/src/core_state.h
+++ b/modules/sidecar/src/core_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sycamore/base/program_id.h"
 #include "sycamore/settings/settings.h"
 #include "sycamore/sidecar/peer_table.h"
 #include "sycamore/sidecar/sidecar_counters.h"
