--- a/modules/sidecar/src/call_results.cpp
+++ b/modules/sidecar/src/call_results.cpp
@@ -18,6 +18,9 @@
 // A request is closed by the core this long after its deadline if it was not reported by then.
 static constexpr Millis kDeadlineGrace{ 2000 };
 
+// Bytes kept of the body of a streamed call whose status is an error.
+static constexpr size_t kMaxErrorBody = 4096;
+
 void
 CallRunner::OnData(const Ticket& aTicket, std::string_view aData)
 {
@@ -26,6 +29,9 @@
     return;
   }
   ActiveCall& call = found->second;
+  if (call.mFirstData.size() < kMaxErrorBody) {
+    call.mFirstData += aData.substr(0, kMaxErrorBody - call.mFirstData.size());
+  }
   if (call.mStreamBroken || call.mSuperseded) {
     return;
   }
@@ -136,7 +142,7 @@
   if (!success) {
     outcome->error = base::AnswerFor(ErrorKind::TargetFailed).mCode;
     outcome->message = "the target answered with an error status";
-    outcome->body = aResponse.mBody;
+    outcome->body = aResponse.mBody.empty() ? call.mFirstData : aResponse.mBody;
   } else if (call.mDispatch->kind == wire::CallKind::Tool) {
     outcome->body = aResponse.mBody;
   } else if (call.mDispatch->stream) {
@@ -204,7 +210,7 @@
 
 void
 CallRunner::FinishCall(uint64_t aNumber,
-                       std::shared_ptr<wire::CallOutcomeT> aOutcome,
+                       const std::shared_ptr<const wire::CallOutcomeT>& aOutcome,
                        TimePoint aNow)
 {
   ActiveCall call = std::move(mCalls.at(aNumber));
--- a/modules/sidecar/src/call_runner.h
+++ b/modules/sidecar/src/call_runner.h
@@ -32,6 +32,7 @@
   uint32_t mNextIndex = 0;
   bool mStreamBroken = false; // The stream could not be parsed; its outcome is a failure.
   std::string mStreamError;
+  std::string mFirstData;   // Start of the streamed body; the answer if the status is an error.
   bool mSuperseded = false; // A newer attempt took its place; no outcome is sent.
 };
 
@@ -102,7 +103,7 @@
   std::shared_ptr<wire::CallOutcomeT> NewOutcome(const ActiveCall& aCall,
                                                  base::TimePoint aNow) const;
   void FinishCall(uint64_t aNumber,
-                  std::shared_ptr<wire::CallOutcomeT> aOutcome,
+                  const std::shared_ptr<const wire::CallOutcomeT>& aOutcome,
                   base::TimePoint aNow);
   void FinishNotRun(uint64_t aNumber, const base::Error& aError, base::TimePoint aNow);
   void SendOutcome(uint64_t aPeer, const wire::CallOutcomeT& aOutcome);
