Release engine memory and apply orders in the sidecar core

Ruled out: GET /v1/cache/events as a source of truth, since it is late and has gaps; the full list is read every 5 s instead. An engine's order is taken as in effect when the versions are equal, since a version names one edit. Not covered by tests yet; they follow.

--- a/modules/sidecar/src/core_dump.cpp
+++ b/modules/sidecar/src/core_dump.cpp
@@ -43,47 +43,59 @@
 }
 
 static json::object
-DumpTarget(const CoreState& aState, const CallRunner& aCalls, size_t aIndex, TimePoint aNow)
+DumpOrder(const OrderKeeper& aKeeper)
 {
-  const TargetState& target = aState.mTargets.at(aIndex);
+  json::object order{ { "highest_version", aKeeper.HighestVersion() },
+                      { "in_effect", aKeeper.InEffect() } };
+  if (aKeeper.Wanted()) {
+    order["model"] = aKeeper.Wanted()->mModel;
+    order["wanted_version"] = aKeeper.Wanted()->mVersion;
+  }
+  return order;
+}
+
+static json::object
+DumpTarget(const CoreParts& aParts, size_t aIndex, TimePoint aNow)
+{
+  const TargetState& target = aParts.mState.mTargets.at(aIndex);
   return json::object{
     { "name", target.mSettings.mTarget.mName },
     { "service", target.mSettings.mTarget.mService },
     { "up", target.mHealth.Up(target.IsEngine(), aNow) },
     { "running", target.mRunning },
-    { "queued", aCalls.Queued(aIndex) },
+    { "queued", aParts.mCalls.Queued(aIndex) },
     { "max_running", target.mSettings.mMaxRunning },
     { "cache_used_tokens", target.mReported.cache_used_tokens },
-    { "fence", target.mFence },
+    { "order", DumpOrder(aParts.mOrders.Keeper(aIndex)) },
   };
 }
 
 std::string
-DumpCore(const CoreState& aState,
-         const CallRunner& aCalls,
-         const ConfigAge& aConfig,
-         TimePoint aNow)
+DumpCore(const CoreParts& aParts, TimePoint aNow)
 {
+  const CoreState& state = aParts.mState;
+  const CallBook& book = aParts.mCalls.Book();
   json::array targets;
-  for (size_t i = 0; i < aState.mTargets.size(); ++i) {
-    targets.push_back(DumpTarget(aState, aCalls, i, aNow));
+  for (size_t i = 0; i < state.mTargets.size(); ++i) {
+    targets.push_back(DumpTarget(aParts, i, aNow));
   }
   json::array calls;
-  for (const auto& [number, call] : aCalls.Calls()) {
-    calls.push_back(DumpCall(call, aState, aNow));
+  for (const auto& [number, call] : aParts.mCalls.Calls()) {
+    calls.push_back(DumpCall(call, state, aNow));
   }
   return json::serialize(json::object{
     { "role", "sidecar" },
-    { "instance", aState.mSettings.mInstance },
-    { "incarnation", fmt::format("{:016x}", aState.mIncarnation) },
-    { "config_version", aConfig.Version() },
-    { "config_age_ms", aConfig.Age(aNow).count() },
-    { "entries", aState.mPeers.EntryLinks().size() },
+    { "instance", state.mSettings.mInstance },
+    { "incarnation", fmt::format("{:016x}", state.mIncarnation) },
+    { "config_version", aParts.mConfig.Version() },
+    { "config_age_ms", aParts.mConfig.Age(aNow).count() },
+    { "entries", state.mPeers.EntryLinks().size() },
     { "targets", targets },
     { "calls", calls },
-    { "records", aCalls.Book().Records() },
-    { "unacked_outcomes", aCalls.Book().UnackedOutcomes() },
-    { "outcome_bytes", aCalls.Book().OutcomeBytes() },
+    { "records", book.Records() },
+    { "unacked_outcomes", book.UnackedOutcomes() },
+    { "outcome_bytes", book.OutcomeBytes() },
+    { "tracked_programs", aParts.mMemory.Tracker().Programs() },
   });
 }
 
--- a/modules/sidecar/src/core_dump.h
+++ b/modules/sidecar/src/core_dump.h
@@ -4,16 +4,25 @@
 
 #include "call_runner.h"
 #include "core_state.h"
+#include "memory_runner.h"
+#include "order_runner.h"
 
 #include <string>
 
 namespace sycamore::sidecar {
 
+// The parts of a core.
+struct CoreParts
+{
+  const CoreState& mState;
+  const CallRunner& mCalls;
+  const MemoryRunner& mMemory;
+  const OrderRunner& mOrders;
+  const ConfigAge& mConfig;
+};
+
 // The state of a core as JSON.
 std::string
-DumpCore(const CoreState& aState,
-         const CallRunner& aCalls,
-         const ConfigAge& aConfig,
-         base::TimePoint aNow);
+DumpCore(const CoreParts& aParts, base::TimePoint aNow);
 
 }
--- /dev/null
+++ b/modules/sidecar/src/memory_runner.cpp
@@ -0,0 +1,215 @@
+#include "memory_runner.h"
+
+#include "sycamore/base/log.h"
+#include "sycamore/sidecar/call_key.h"
+#include "sycamore/wire/codec.h"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+namespace sycamore::sidecar {
+
+namespace json = boost::json;
+using base::Log;
+using base::LogEvent;
+using base::Millis;
+using base::Seconds;
+using base::TimePoint;
+using transport::LinkId;
+
+static constexpr Millis kPollPeriod{ 500 };
+
+// Cache events have gaps, so the whole list is read instead; a list of 1,000 programs has about
+// 60 KB.
+static constexpr Millis kListPeriod{ 5000 };
+static constexpr Millis kListDeadline{ 3000 };
+static constexpr Millis kReleaseDeadline{ 3000 };
+
+static std::vector<size_t>
+EnginesOf(const CoreState& aState)
+{
+  std::vector<size_t> engines;
+  for (size_t i = 0; i < aState.mTargets.size(); ++i) {
+    if (aState.mTargets[i].IsEngine()) {
+      engines.push_back(i);
+    }
+  }
+  return engines;
+}
+
+static MemoryRules
+RulesOf(const settings::Settings& aSettings)
+{
+  MemoryRules rules;
+  rules.mLease = aSettings.mHoldLease;
+  return rules;
+}
+
+MemoryRunner::MemoryRunner(CoreState& aState)
+  : mState(aState)
+  , mTracker(EnginesOf(aState), RulesOf(aState.mSettings))
+  , mNextList(aState.mTargets.size())
+{
+}
+
+MemoryTracker&
+MemoryRunner::Tracker()
+{
+  return mTracker;
+}
+
+const MemoryTracker&
+MemoryRunner::Tracker() const
+{
+  return mTracker;
+}
+
+void
+MemoryRunner::OnHold(const wire::HoldT& aHold, TimePoint aNow)
+{
+  const Millis lease(static_cast<int64_t>(std::min<uint64_t>(aHold.lease_ms, 86400000)));
+  for (const auto& program : aHold.programs) {
+    mTracker.Held(FromWire(*program), lease, aNow);
+  }
+}
+
+void
+MemoryRunner::OnRelease(LinkId aLink, const wire::ReleaseT& aRelease, TimePoint aNow)
+{
+  if (aRelease.program) {
+    mTracker.Ended(FromWire(*aRelease.program), mState.mPeers.PeerOf(aLink), aNow);
+    mNextPoll = aNow;
+  }
+}
+
+void
+MemoryRunner::OnTick(TimePoint aNow)
+{
+  RequestLists(aNow);
+  if (mNextPoll > aNow) {
+    return;
+  }
+  mNextPoll = aNow + kPollPeriod;
+  const MemoryActions actions = mTracker.Poll(aNow);
+  for (const auto& release : actions.mReleases) {
+    SendRelease(release, aNow);
+  }
+  for (const auto& ack : actions.mAcks) {
+    wire::ReleaseAckT frame;
+    frame.program = ToWire(ack.mProgram);
+    mState.SendTo(ack.mPeer, wire::MakeFrame(std::move(frame)));
+  }
+  for (const auto& gone : actions.mGone) {
+    SendGone(gone);
+  }
+}
+
+void
+MemoryRunner::RequestLists(TimePoint aNow)
+{
+  for (size_t i = 0; i < mState.mTargets.size(); ++i) {
+    if (!mState.mTargets[i].IsEngine() || mNextList[i] > aNow) {
+      continue;
+    }
+    mNextList[i] = TimePoint::max();
+    TargetRequest request;
+    request.mMethod = "GET";
+    request.mPath = "/v1/cache";
+    request.mDeadline = kListDeadline;
+    mState.Start({ TicketPurpose::CacheList, i, 0, {}, aNow }, std::move(request));
+  }
+}
+
+void
+MemoryRunner::SendRelease(const MemoryActions::Release& aRelease, TimePoint aNow)
+{
+  TargetRequest request;
+  request.mMethod = "POST";
+  request.mPath = "/v1/cache/release";
+  request.mBody = fmt::format(R"({{"program":"{}"}})", base::ToString(aRelease.mProgram));
+  request.mDeadline = kReleaseDeadline;
+  mState.Start({ TicketPurpose::MemoryRelease, aRelease.mTarget, 0, aRelease.mProgram, aNow },
+               std::move(request));
+}
+
+// Tells the owner of the program's partition, if it is known, that a prefix was evicted.
+void
+MemoryRunner::SendGone(const MemoryActions::Release& aGone)
+{
+  wire::CacheHintT hint;
+  hint.target = mState.mTargets.at(aGone.mTarget).mSettings.mTarget.mName;
+  hint.program = ToWire(aGone.mProgram);
+  hint.tokens = 0;
+  const uint64_t owner = mState.mPeers.OwnerOf(aGone.mProgram.mPartition);
+  mState.SendTo(owner, wire::MakeFrame(std::move(hint)));
+}
+
+// Reads the answer to GET /v1/cache; nothing if it is malformed. Programs whose ids are not of this
+// system are left alone.
+static std::optional<std::vector<CachedProgram>>
+ParseList(const std::string& aBody)
+{
+  boost::system::error_code error;
+  const json::value parsed = json::parse(aBody, error);
+  const json::object* object = error ? nullptr : parsed.if_object();
+  const json::value* programs = object == nullptr ? nullptr : object->if_contains("programs");
+  if (programs == nullptr || !programs->is_array()) {
+    return std::nullopt;
+  }
+  std::vector<CachedProgram> list;
+  for (const auto& entry : programs->get_array()) {
+    const json::object* row = entry.if_object();
+    const json::value* name = row == nullptr ? nullptr : row->if_contains("program");
+    if (name == nullptr || !name->is_string()) {
+      continue;
+    }
+    const auto id = base::ParseProgramId(std::string_view(name->get_string()));
+    if (!IsOk(id)) {
+      continue;
+    }
+    const json::value* tokens = row->if_contains("tokens");
+    const uint64_t count = tokens == nullptr ? 0 : tokens->to_number<uint64_t>(error);
+    list.push_back({ ValueOf(id), count });
+  }
+  return list;
+}
+
+void
+MemoryRunner::OnDone(const Ticket& aTicket, const http::ClientResponse& aResponse, TimePoint aNow)
+{
+  if (aTicket.mPurpose == TicketPurpose::MemoryRelease) {
+    // An engine that does not know the program has nothing to release.
+    if (aResponse.mStatus != 200 && aResponse.mStatus != 404) {
+      OnFailed(aTicket, aNow);
+      return;
+    }
+    mTracker.Released(aTicket.mTarget, aTicket.mProgram, aNow);
+    ++mState.mCounters.mMemoryReleases;
+    mNextPoll = aNow;
+    Log(LogEvent::MemoryReleased, "{}", base::ToString(aTicket.mProgram));
+    return;
+  }
+  const auto list = ParseList(aResponse.mBody);
+  if (aResponse.mStatus != 200 || !list) {
+    OnFailed(aTicket, aNow);
+    return;
+  }
+  mNextList[aTicket.mTarget] = aNow + kListPeriod;
+  const uint64_t before = mTracker.Adopted();
+  mTracker.Listed(aTicket.mTarget, *list, aTicket.mRequestedAt, aNow);
+  if (mTracker.Adopted() != before) {
+    Log(LogEvent::MemoryAdopted, "{} programs", mTracker.Adopted() - before);
+  }
+}
+
+void
+MemoryRunner::OnFailed(const Ticket& aTicket, TimePoint aNow)
+{
+  if (aTicket.mPurpose == TicketPurpose::MemoryRelease) {
+    mTracker.ReleaseFailed(aTicket.mTarget, aTicket.mProgram, aNow);
+  } else {
+    mNextList[aTicket.mTarget] = aNow + kPollPeriod;
+  }
+}
+
+}
--- /dev/null
+++ b/modules/sidecar/src/memory_runner.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "sycamore/http/client.h"
+#include "sycamore/sidecar/memory_tracker.h"
+
+#include "core_state.h"
+
+namespace sycamore::sidecar {
+
+// Connects the memory tracker with peers and engines.
+class MemoryRunner
+{
+public:
+  explicit MemoryRunner(CoreState& aState);
+
+  void OnHold(const wire::HoldT& aHold, base::TimePoint aNow);
+  void OnRelease(transport::LinkId aLink, const wire::ReleaseT& aRelease, base::TimePoint aNow);
+  void OnTick(base::TimePoint aNow);
+  void OnDone(const Ticket& aTicket, const http::ClientResponse& aResponse, base::TimePoint aNow);
+  void OnFailed(const Ticket& aTicket, base::TimePoint aNow);
+
+  MemoryTracker& Tracker();
+  const MemoryTracker& Tracker() const;
+
+private:
+  void RequestLists(base::TimePoint aNow);
+  void SendRelease(const MemoryActions::Release& aRelease, base::TimePoint aNow);
+  void SendGone(const MemoryActions::Release& aGone);
+
+  CoreState& mState;
+  MemoryTracker mTracker;
+  std::vector<base::TimePoint> mNextList; // By target; far in the future while one is requested.
+  base::TimePoint mNextPoll;
+};
+
+}
--- /dev/null
+++ b/modules/sidecar/src/order_runner.cpp
@@ -0,0 +1,220 @@
+#include "order_runner.h"
+
+#include "sycamore/base/log.h"
+
+#include <boost/json.hpp>
+#include <optional>
+
+namespace sycamore::sidecar {
+
+namespace json = boost::json;
+using base::Log;
+using base::LogEvent;
+using base::Millis;
+using base::TimePoint;
+
+static constexpr Millis kReadDeadline{ 2000 };
+
+// An engine may answer only once the weights are loaded.
+static constexpr Millis kSendDeadline{ 60000 };
+
+OrderRunner::OrderRunner(CoreState& aState)
+  : mState(aState)
+  , mKeepers(aState.mTargets.size(), OrderKeeper(OrderRules{}))
+  // Any seed will do as long as sidecars differ, so that their retries do.
+  , mRandom(static_cast<std::minstd_rand::result_type>(aState.mIncarnation | 1))
+{
+}
+
+const OrderKeeper&
+OrderRunner::Keeper(size_t aTarget) const
+{
+  return mKeepers.at(aTarget);
+}
+
+double
+OrderRunner::Random()
+{
+  return std::uniform_real_distribution<double>(0, 1)(mRandom);
+}
+
+void
+OrderRunner::OnTable(const table::Table& aTable, TimePoint aNow)
+{
+  for (size_t i = 0; i < mState.mTargets.size(); ++i) {
+    const auto& target = mState.mTargets[i].mSettings.mTarget;
+    const auto order = aTable.mOrders.find(target.mService);
+    if (mState.mTargets[i].IsEngine() && order != aTable.mOrders.end()) {
+      mKeepers[i].Want(order->second);
+    }
+  }
+  OnTick(aNow);
+}
+
+void
+OrderRunner::OnTick(TimePoint aNow)
+{
+  for (size_t i = 0; i < mState.mTargets.size(); ++i) {
+    if (mState.mTargets[i].IsEngine()) {
+      Act(i, aNow);
+    }
+  }
+}
+
+void
+OrderRunner::Act(size_t aTarget, TimePoint aNow)
+{
+  mState.mTargets[aTarget].mFence = mKeepers[aTarget].HighestVersion();
+  switch (mKeepers[aTarget].Poll(aNow)) {
+    case OrderAction::None:
+      return;
+    case OrderAction::Read:
+      Read(aTarget, aNow);
+      return;
+    case OrderAction::RequestSlot:
+      RequestSlot(aTarget, aNow);
+      return;
+    case OrderAction::Send:
+      Send(aTarget, aNow);
+      return;
+  }
+}
+
+void
+OrderRunner::Read(size_t aTarget, TimePoint aNow)
+{
+  TargetRequest request;
+  request.mMethod = "GET";
+  request.mPath = "/v1/orders";
+  request.mDeadline = kReadDeadline;
+  mState.Start({ TicketPurpose::OrderRead, aTarget, 0, {}, aNow }, std::move(request));
+}
+
+void
+OrderRunner::RequestSlot(size_t aTarget, TimePoint aNow)
+{
+  const table::Order& order = *mKeepers[aTarget].Wanted();
+  const uint64_t number = mState.mNextTicket++;
+  mState.mTickets[number] = { TicketPurpose::Slot, aTarget, 0, {}, aNow };
+  mState.mOutput.RequestSlot({ number, order.mModel, order.mModelVersion });
+}
+
+void
+OrderRunner::Send(size_t aTarget, TimePoint aNow)
+{
+  const table::Order& order = *mKeepers[aTarget].Wanted();
+  Log(LogEvent::OrderSent,
+      "{}: model {} version {}",
+      mState.mTargets[aTarget].mSettings.mTarget.mName,
+      order.mModel,
+      order.mVersion);
+  TargetRequest request;
+  request.mMethod = "POST";
+  request.mPath = "/v1/orders";
+  request.mDeadline = kSendDeadline;
+  request.mBody = json::serialize(json::object{ { "version", order.mVersion },
+                                                { "model", order.mModel },
+                                                { "adapter", order.mAdapter },
+                                                { "model_version", order.mModelVersion },
+                                                { "role", order.mRole } });
+  mState.Start({ TicketPurpose::OrderSend, aTarget, 0, {}, aNow }, std::move(request));
+}
+
+void
+OrderRunner::OnSlot(const Ticket& aTicket, bool aGranted, Millis aRetryAfter, TimePoint aNow)
+{
+  if (!aGranted) {
+    ++mState.mCounters.mSlotsLimited;
+    Log(LogEvent::WeightStoreLimited,
+        "{}: no slot",
+        mState.mTargets[aTicket.mTarget].mSettings.mTarget.mName);
+  }
+  mKeepers[aTicket.mTarget].SlotAnswered(aGranted, aRetryAfter, Random(), aNow);
+  Act(aTicket.mTarget, aNow);
+}
+
+void
+OrderRunner::OnDone(const Ticket& aTicket, const http::ClientResponse& aResponse, TimePoint aNow)
+{
+  if (aTicket.mPurpose == TicketPurpose::OrderRead) {
+    OnReadDone(aTicket, aResponse, aNow);
+  } else {
+    OnSendDone(aTicket, aResponse, aNow);
+  }
+}
+
+static std::string
+Text(const json::object& aObject, std::string_view aName)
+{
+  const json::value* value = aObject.if_contains(aName);
+  return value != nullptr && value->is_string() ? std::string(value->get_string()) : "";
+}
+
+// Reads the answer to GET /v1/orders; nothing if it is malformed.
+static std::optional<table::Order>
+ParseState(const std::string& aBody)
+{
+  boost::system::error_code error;
+  const json::value parsed = json::parse(aBody, error);
+  const json::object* object = error ? nullptr : parsed.if_object();
+  if (object == nullptr) {
+    return std::nullopt;
+  }
+  table::Order state;
+  if (const json::value* version = object->if_contains("version")) {
+    state.mVersion = version->to_number<uint64_t>(error);
+  }
+  state.mModel = Text(*object, "model");
+  state.mAdapter = Text(*object, "adapter");
+  state.mModelVersion = Text(*object, "model_version");
+  state.mRole = Text(*object, "role");
+  return state;
+}
+
+void
+OrderRunner::OnReadDone(const Ticket& aTicket,
+                        const http::ClientResponse& aResponse,
+                        TimePoint aNow)
+{
+  const auto state = ParseState(aResponse.mBody);
+  if (aResponse.mStatus != 200 || !state) {
+    OnFailed(aTicket, aNow);
+    return;
+  }
+  mKeepers[aTicket.mTarget].StateRead(*state, aNow);
+  Act(aTicket.mTarget, aNow);
+}
+
+void
+OrderRunner::OnSendDone(const Ticket& aTicket,
+                        const http::ClientResponse& aResponse,
+                        TimePoint aNow)
+{
+  OrderKeeper& keeper = mKeepers[aTicket.mTarget];
+  const std::string& name = mState.mTargets[aTicket.mTarget].mSettings.mTarget.mName;
+  if (aResponse.mStatus >= 200 && aResponse.mStatus < 300) {
+    ++mState.mCounters.mOrdersApplied;
+    Log(LogEvent::OrderApplied, "{}", name);
+    keeper.Applied(aNow);
+    return;
+  }
+  ++mState.mCounters.mOrdersRefused;
+  Log(LogEvent::OrderRefused, "{}: status {}", name, aResponse.mStatus);
+  if (aResponse.mStatus == 409) {
+    keeper.Refused(Random(), aNow);
+  } else {
+    keeper.SendFailed(Random(), aNow);
+  }
+}
+
+void
+OrderRunner::OnFailed(const Ticket& aTicket, TimePoint aNow)
+{
+  if (aTicket.mPurpose == TicketPurpose::OrderRead) {
+    mKeepers[aTicket.mTarget].ReadFailed(Random(), aNow);
+  } else {
+    mKeepers[aTicket.mTarget].SendFailed(Random(), aNow);
+  }
+}
+
+}
--- a/modules/sidecar/src/sidecar_core.cpp
+++ b/modules/sidecar/src/sidecar_core.cpp
@@ -7,6 +7,8 @@
 #include "call_runner.h"
 #include "core_dump.h"
 #include "load_poller.h"
+#include "memory_runner.h"
+#include "order_runner.h"
 
 #include <algorithm>
 
@@ -30,12 +32,31 @@
   return state;
 }
 
+static CallHooks
+HooksInto(MemoryTracker& aTracker)
+{
+  CallHooks hooks;
+  hooks.mHasPrefix = [&aTracker](size_t aTarget, const base::ProgramId& aProgram) {
+    return aTracker.HasPrefix(aTarget, aProgram);
+  };
+  hooks.mStarted = [&aTracker](size_t aTarget, const base::ProgramId& aProgram, TimePoint aNow) {
+    aTracker.CallStarted(aTarget, aProgram, aNow);
+  };
+  hooks.mFinished =
+    [&aTracker](size_t aTarget, const base::ProgramId& aProgram, uint64_t aTokens, TimePoint aNow) {
+      aTracker.CallFinished(aTarget, aProgram, aTokens, aNow);
+    };
+  return hooks;
+}
+
 class SidecarCore::Impl
 {
 public:
   Impl(const settings::Settings& aSettings, uint64_t aIncarnation, SidecarOutput& aOutput)
     : mState(InitialState(aSettings, aIncarnation, aOutput))
-    , mCalls(mState, {})
+    , mMemory(mState)
+    , mOrders(mState)
+    , mCalls(mState, HooksInto(mMemory.Tracker()))
     , mLoads(mState)
     , mConfig({ aSettings.mConfigMaxAge, aSettings.mConfigMaxAgeWithPeers })
   {
@@ -52,6 +73,8 @@
   void Publish(TimePoint aNow);
 
   CoreState mState;
+  MemoryRunner mMemory;
+  OrderRunner mOrders;
   CallRunner mCalls;
   LoadPoller mLoads;
   ConfigAge mConfig;
@@ -75,6 +98,8 @@
 {
   mImpl->Publish(aNow);
   mImpl->mLoads.OnTick(aNow);
+  mImpl->mMemory.OnTick(aNow);
+  mImpl->mOrders.OnTick(aNow);
 }
 
 void
@@ -126,6 +151,12 @@
     case wire::Body::Seal:
       mCalls.OnSeal(aLink, *body.AsSeal(), aNow);
       return;
+    case wire::Body::Hold:
+      mMemory.OnHold(*body.AsHold(), aNow);
+      return;
+    case wire::Body::Release:
+      mMemory.OnRelease(aLink, *body.AsRelease(), aNow);
+      return;
     default:
       return;
   }
@@ -154,6 +185,7 @@
 {
   if (mImpl->mConfig.IsNewer(aTable.mVersion)) {
     Log(LogEvent::TableChanged, "table version {}", aTable.mVersion);
+    mImpl->mOrders.OnTable(aTable, aNow);
   }
   mImpl->mConfig.Adopted(aTable.mVersion, aAge, aNow);
   mImpl->Publish(aNow);
@@ -201,7 +233,15 @@
     case TicketPurpose::Load:
       mImpl->mLoads.OnDone(*ticket, aResponse, aNow);
       return;
-    default:
+    case TicketPurpose::CacheList:
+    case TicketPurpose::MemoryRelease:
+      mImpl->mMemory.OnDone(*ticket, aResponse, aNow);
+      return;
+    case TicketPurpose::OrderRead:
+    case TicketPurpose::OrderSend:
+      mImpl->mOrders.OnDone(*ticket, aResponse, aNow);
+      return;
+    case TicketPurpose::Slot:
       return;
   }
 }
@@ -223,14 +263,26 @@
     case TicketPurpose::Load:
       mImpl->mLoads.OnFailed(*ticket, aNow);
       return;
-    default:
+    case TicketPurpose::CacheList:
+    case TicketPurpose::MemoryRelease:
+      mImpl->mMemory.OnFailed(*ticket, aNow);
+      return;
+    case TicketPurpose::OrderRead:
+    case TicketPurpose::OrderSend:
+      mImpl->mOrders.OnFailed(*ticket, aNow);
+      return;
+    case TicketPurpose::Slot:
       return;
   }
 }
 
 void
-SidecarCore::OnSlot(uint64_t, bool, Millis, TimePoint)
+SidecarCore::OnSlot(uint64_t aTicket, bool aGranted, Millis aRetryAfter, TimePoint aNow)
 {
+  const auto ticket = mImpl->TakeTicket(aTicket);
+  if (ticket && ticket->mPurpose == TicketPurpose::Slot) {
+    mImpl->mOrders.OnSlot(*ticket, aGranted, aRetryAfter, aNow);
+  }
 }
 
 void
@@ -238,6 +290,8 @@
 {
   mImpl->mCalls.OnTick(aNow);
   mImpl->mLoads.OnTick(aNow);
+  mImpl->mMemory.OnTick(aNow);
+  mImpl->mOrders.OnTick(aNow);
   if (mImpl->mDraining && mImpl->mCalls.Active() > 0) {
     mImpl->mLastFinished = aNow;
   }
@@ -366,13 +420,17 @@
     counters.mRunning += mImpl->mState.mTargets[i].mRunning;
   }
   counters.mUnackedOutcomes = mImpl->mCalls.Book().UnackedOutcomes();
+  counters.mTrackedPrograms = mImpl->mMemory.Tracker().Programs();
+  counters.mHoldsExpired = mImpl->mMemory.Tracker().Expired();
+  counters.mProgramsAdopted = mImpl->mMemory.Tracker().Adopted();
   return counters;
 }
 
 std::string
 SidecarCore::Dump(TimePoint aNow) const
 {
-  return DumpCore(mImpl->mState, mImpl->mCalls, mImpl->mConfig, aNow);
+  return DumpCore({ mImpl->mState, mImpl->mCalls, mImpl->mMemory, mImpl->mOrders, mImpl->mConfig },
+                  aNow);
 }
 
 }
