--- /dev/null
+++ b/modules/daemon/src/run.cpp
@@ -0,0 +1,83 @@
+#include "sycamore/daemon/run.h"
+
+#include "sycamore/base/clock.h"
+#include "sycamore/base/log.h"
+
+#include <csignal>
+#include <ctime>
+#include <optional>
+
+namespace sycamore::daemon {
+
+using base::Log;
+using base::LogEvent;
+
+// How often the end of a drain is checked.
+static constexpr base::Millis kDrainPoll{ 20 };
+
+static sigset_t
+StopSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+void
+BlockSignals()
+{
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  // A peer that closes its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+// Waits at most aTimeout for a stop signal.
+static std::optional<int>
+WaitForSignal(base::Millis aTimeout)
+{
+  const sigset_t signals = StopSignals();
+  timespec timeout{};
+  timeout.tv_sec = aTimeout.count() / 1000;
+  timeout.tv_nsec = (aTimeout.count() % 1000) * 1000000;
+  const int signal = sigtimedwait(&signals, nullptr, &timeout);
+  return signal > 0 ? std::optional<int>(signal) : std::nullopt;
+}
+
+// Returns whether all work in flight finished.
+static bool
+Drain(Service& aService, base::Millis aLimit)
+{
+  const base::TimePoint latest = base::Clock::now() + aLimit;
+  aService.BeginDrain();
+  while (!aService.Drained()) {
+    if (base::Clock::now() >= latest || WaitForSignal(kDrainPoll)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+int
+RunUntilSignal(Service& aService, base::Millis aDrainLimit)
+{
+  const auto started = aService.Start();
+  if (!base::IsOk(started)) {
+    Log(LogEvent::SettingsInvalid, "start failed: {}", base::ErrorOf(started).mMessage);
+    aService.Stop();
+    return kExitStartFailed;
+  }
+  std::optional<int> signal;
+  while (!signal) {
+    signal = WaitForSignal(base::Seconds(3600));
+  }
+  Log(LogEvent::ProcessStopping, "signal={}", *signal);
+  const bool drained = Drain(aService, aDrainLimit);
+  aService.Stop();
+  Log(LogEvent::ProcessStopped, "drained={}", drained);
+  return drained ? kExitOk : kExitDrainIncomplete;
+}
+
+}
