--- a/modules/client/tests/call_stream_test.cpp
+++ b/modules/client/tests/call_stream_test.cpp
@@ -1,57 +1,14 @@
+#include "scripted_entry.h"
+
 #include "sycamore/client/call_stream.h"
-#include "sycamore/http/server.h"
 
-#include <atomic>
 #include <boost/test/unit_test.hpp>
-#include <mutex>
 
 namespace sycamore::client {
 
 using base::Millis;
 using base::Seconds;
 
-// An entry whose answers the test scripts.
-class ScriptedEntry
-{
-public:
-  using Script = std::function<void(http::Server&, const http::Request&, int)>;
-
-  explicit ScriptedEntry(Script aScript)
-    : mScript(std::move(aScript))
-    , mServer({},
-              { [this](const http::Request& aRequest) {
-                 {
-                   const std::lock_guard<std::mutex> lock(mMutex);
-                   mRequests.push_back(aRequest);
-                 }
-                 mScript(mServer, aRequest, ++mCount);
-                 return true;
-               },
-                {} })
-  {
-    mEndpoint = base::ValueOf(mServer.Listen({ "127.0.0.1", 0 }));
-  }
-
-  ~ScriptedEntry() { mServer.Stop(); }
-  ScriptedEntry(const ScriptedEntry&) = delete;
-  ScriptedEntry& operator=(const ScriptedEntry&) = delete;
-
-  std::vector<http::Request> Requests()
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    return mRequests;
-  }
-
-  http::Endpoint mEndpoint;
-
-private:
-  Script mScript;
-  std::mutex mMutex;
-  std::vector<http::Request> mRequests;
-  std::atomic<int> mCount = 0;
-  http::Server mServer;
-};
-
 static http::ResponsePart
 Events(const http::Request& aRequest, std::string aBody, bool aLast)
 {
@@ -63,16 +20,6 @@
   return part;
 }
 
-static http::ResponsePart
-ErrorPart(const http::Request& aRequest, int aStatus, std::string aBody)
-{
-  http::ResponsePart part;
-  part.mRequest = aRequest.mId;
-  part.mStatus = aStatus;
-  part.mBody = std::move(aBody);
-  return part;
-}
-
 struct CallStreamFixture
 {
   std::string mText;
@@ -122,10 +69,10 @@
     if (aCount == 1) {
       aServer.Send(Events(aRequest, kToken1, true));
     } else if (aRequest.mMethod == "GET") {
-      aServer.Send(
-        ErrorPart(aRequest,
-                  404,
-                  R"({"error":{"code":"call_not_found","run":"uncommitted","retryable":true}})"));
+      aServer.Send(CompletePart(
+        aRequest,
+        404,
+        R"({"error":{"code":"call_not_found","run":"uncommitted","retryable":true}})"));
     } else {
       aServer.Send(Events(
         aRequest, std::string("event: reset\ndata: {}\n\n") + kToken1 + kToken2 + kDone, true));
@@ -142,7 +89,7 @@
 BOOST_FIXTURE_TEST_CASE(CallStreamRefusedIsReportedAtOnce, CallStreamFixture)
 {
   ScriptedEntry entry([](http::Server& aServer, const http::Request& aRequest, int) {
-    aServer.Send(ErrorPart(
+    aServer.Send(CompletePart(
       aRequest,
       402,
       R"({"error":{"code":"budget_exceeded","message":"m","run":"not_run","retryable":false}})"));
@@ -157,10 +104,10 @@
 BOOST_FIXTURE_TEST_CASE(EntriesWithDeadFirstEntryAskTheNext, CallStreamFixture)
 {
   ScriptedEntry live([](http::Server& aServer, const http::Request& aRequest, int) {
-    aServer.Send(ErrorPart(aRequest, 200, "{}"));
+    aServer.Send(CompletePart(aRequest, 200, "{}"));
   });
   ScriptedEntry stopping([](http::Server& aServer, const http::Request& aRequest, int) {
-    aServer.Send(ErrorPart(
+    aServer.Send(CompletePart(
       aRequest, 503, R"({"error":{"code":"stopping","run":"not_run","retryable":true}})"));
   });
   // Port 9 of loopback (discard) has no listener here.
@@ -176,7 +123,7 @@
 {
   ScriptedEntry silent([](http::Server&, const http::Request&, int) {});
   ScriptedEntry live([](http::Server& aServer, const http::Request& aRequest, int) {
-    aServer.Send(ErrorPart(aRequest, 200, "{}"));
+    aServer.Send(CompletePart(aRequest, 200, "{}"));
   });
   Entries entries({ silent.mEndpoint, live.mEndpoint }, Millis(200));
   http::ClientRequest edit;
