--- a/modules/sidecar/include/sycamore/sidecar/call_book.h
+++ b/modules/sidecar/include/sycamore/sidecar/call_book.h
@@ -127,6 +127,7 @@
   };
 
   bool RaiseFloor(uint32_t aPartition, uint64_t aEpoch);
+  bool MayHaveForgotten(const CallKey& aKey) const;
   std::optional<Admission> CheckNew(const DispatchFacts& aFacts) const;
   Admission AdmitKnown(const DispatchFacts& aFacts, CallRecord& aRecord);
   bool MakeSpace(base::TimePoint aNow);
--- a/modules/sidecar/src/call_book.cpp
+++ b/modules/sidecar/src/call_book.cpp
@@ -68,6 +68,15 @@
   return true;
 }
 
+// Whether a non-idempotent call without a record may nevertheless have run here.
+bool
+CallBook::MayHaveForgotten(const CallKey& aKey) const
+{
+  const auto partition = mPartitions.find(aKey.mProgram.mPartition);
+  const bool forgot = partition != mPartitions.end() && partition->second.mForgotOutcome;
+  return !aKey.mKey.empty() && (forgot || mAcked.contains(aKey));
+}
+
 // Checks of a call without a record; nothing if it may run.
 std::optional<Admission>
 CallBook::CheckNew(const DispatchFacts& aFacts) const
@@ -111,7 +120,7 @@
   const uint32_t partition = aFacts.mKey.mProgram.mPartition;
   const auto found = mRecords.find(aFacts.mKey);
   if (aFacts.mEpoch < EpochFloor(partition)) {
-    const bool seen = found != mRecords.end() || mAcked.contains(aFacts.mKey);
+    const bool seen = found != mRecords.end() || MayHaveForgotten(aFacts.mKey);
     return { seen ? AdmitDecision::Ignore : AdmitDecision::Refuse, ErrorKind::Fenced };
   }
   if (!RaiseFloor(partition, aFacts.mEpoch)) {
@@ -295,8 +304,7 @@
 SealState
 CallBook::SealUnseen(const CallKey& aKey, uint64_t aEpoch, uint64_t aIncarnation, TimePoint aNow)
 {
-  const bool forgotten = mPartitions.at(aKey.mProgram.mPartition).mForgotOutcome;
-  if (aIncarnation != mIncarnation || forgotten || mAcked.contains(aKey)) {
+  if (aIncarnation != mIncarnation || MayHaveForgotten(aKey)) {
     return SealState::Unknown;
   }
   if (!MakeSpace(aNow)) {
--- a/modules/sidecar/src/call_results.cpp
+++ b/modules/sidecar/src/call_results.cpp
@@ -128,6 +128,14 @@
   SetUsage(ValueOf(usage), aOutcome);
 }
 
+// An engine answers 409 if the fencing token of the call is older than its order; nothing ran then.
+static bool
+RefusedByFence(const ActiveCall& aCall, const http::ClientResponse& aResponse)
+{
+  constexpr int kConflict = 409;
+  return aCall.mDispatch->kind == wire::CallKind::Model && aResponse.mStatus == kConflict;
+}
+
 void
 CallRunner::OnDone(const Ticket& aTicket, const http::ClientResponse& aResponse, TimePoint aNow)
 {
@@ -139,7 +147,11 @@
   outcome->result = wire::CallResult::Answered;
   outcome->status = static_cast<uint32_t>(aResponse.mStatus);
   const bool success = aResponse.mStatus >= 200 && aResponse.mStatus < 300;
-  if (!success) {
+  if (RefusedByFence(call, aResponse)) {
+    outcome->result = wire::CallResult::NotRun;
+    outcome->error = base::AnswerFor(ErrorKind::Fenced).mCode;
+    outcome->message = "the engine rejected the fencing token";
+  } else if (!success) {
     outcome->error = base::AnswerFor(ErrorKind::TargetFailed).mCode;
     outcome->message = "the target answered with an error status";
     outcome->body = aResponse.mBody.empty() ? call.mFirstData : aResponse.mBody;
--- a/modules/sidecar/src/memory_tracker.cpp
+++ b/modules/sidecar/src/memory_tracker.cpp
@@ -58,8 +58,10 @@
   }
   Program& program = mPrograms[aProgram];
   program.mHeldUntil = aHeldUntil;
+  // A late call or list of a program that has ended must not give it another lease.
+  program.mEnded = mEnded.contains(aProgram);
   for (const size_t engine : mEngines) {
-    program.mPlaces[engine] = {};
+    program.mPlaces[engine].mConfirmed = program.mEnded;
   }
   return &program;
 }
@@ -155,11 +157,8 @@
   if (program == nullptr) {
     return; // It is listed again when there is space.
   }
-  program->mEnded = mEnded.contains(aCached.mProgram);
-  for (auto& [target, place] : program->mPlaces) {
-    place.mConfirmed = target != aTarget;
-  }
   Place& place = program->mPlaces.at(aTarget);
+  place.mConfirmed = false;
   place.mCached = true;
   place.mTokens = aCached.mTokens;
   ++mAdoptedCount;
