--- /dev/null
+++ b/modules/ledger/include/sycamore/ledger/retention.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "sycamore/base/clock.h"
+#include "sycamore/base/error_kind.h"
+#include "sycamore/ledger/offset_ages.h"
+#include "sycamore/ledger/partition_state.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace sycamore::ledger {
+
+struct RetentionSettings
+{
+  base::Millis mRetention{ 0 };                      // Of the log.
+  uint64_t mCheckpointBatches = 10000;               // A new owner reads about this many at most.
+  uint64_t mCheckpointBytes = uint64_t{ 64 } << 20U; // Likewise in bytes.
+};
+
+// What was written since the last accepted checkpoint was made.
+struct SinceCheckpoint
+{
+  uint64_t mBatches = 0;
+  uint64_t mBytes = 0;
+  base::Millis mAge{ 0 }; // Since it was made, or since the partition was opened.
+};
+
+// A turn whose text must be appended again.
+struct TurnToRewrite
+{
+  base::ProgramId mProgram;
+  TurnIndex mTurn;
+};
+
+// Whether the owner must write a checkpoint: after a quarter of the retention period, so that the
+// one before it is still retained if this one is delayed, or after enough batches or bytes.
+bool
+CheckpointDue(const RetentionSettings& aSettings, const SinceCheckpoint& aSince);
+
+// The turns of live programs that are older than half of the retention period or of unknown age,
+// oldest first, up to about aMaxBytes of text but at least one. A new owner finds all turns of
+// unknown age. It may spread them over a quarter of the retention period, since its predecessor
+// rewrote in time as well; oldest first lets several short-lived owners make progress together.
+//
+// The owner appends each as a LogTurn with rewritten set and the digest of the index. The text of a
+// non-idempotent call that was not rewritten yet lies in two batches: the request at
+// KeyState::mIntentOffset, the answer at TurnIndex::mOffset.
+std::vector<TurnToRewrite>
+TurnsToRewrite(const RetentionSettings& aSettings,
+               const PartitionState& aState,
+               const OffsetAges& aAges,
+               base::TimePoint aNow,
+               size_t aMaxBytes);
+
+// Removes from aCheckpoint the programs that ended more than one retention period ago. The fold
+// drops them when it applies the checkpoint.
+void
+TrimEnded(const RetentionSettings& aSettings,
+          const OffsetAges& aAges,
+          base::TimePoint aNow,
+          wire::LogCheckpointT& aCheckpoint);
+
+// What to answer for aProgram, which is not in aState: ProgramExpired if a checkpoint may have
+// dropped it, judged by its creation offset, else UnknownProgram.
+base::ErrorKind
+MissingProgramError(const PartitionState& aState, const base::ProgramId& aProgram);
+
+}
