--- a/modules/daemon/include/sycamore/daemon/run.h
+++ b/modules/daemon/include/sycamore/daemon/run.h
@@ -7,10 +7,10 @@
 // Exit codes of sycamoreleverd.
 enum ExitCode : int
 {
-  kExitOk = 0,
-  kExitStartFailed = 1,
-  kExitInvalidSettings = 2,
-  kExitDrainIncomplete = 3, // A second signal or the drain limit cut off work in flight.
+  ExitOk = 0,
+  ExitStartFailed = 1,
+  ExitInvalidSettings = 2,
+  ExitDrainIncomplete = 3, // A second signal or the drain limit cut off work in flight.
 };
 
 // Blocks the signals that RunUntilSignal waits for. Call before any thread is started.
--- a/modules/daemon/main/main.cpp
+++ b/modules/daemon/main/main.cpp
@@ -36,7 +36,7 @@
   if (!file) {
     fmt::print(
       stderr, "cannot read the settings file '{}'; pass --settings=FILE\n", FLAGS_settings);
-    return daemon::kExitInvalidSettings;
+    return daemon::ExitInvalidSettings;
   }
   const std::string text{ std::istreambuf_iterator<char>(file), {} };
   const auto parsed = sycamore::settings::Parse(text);
@@ -44,7 +44,7 @@
     for (const auto& fault : *faults) {
       fmt::print(stderr, "{}: {}: {}\n", FLAGS_settings, fault.mField, fault.mMessage);
     }
-    return daemon::kExitInvalidSettings;
+    return daemon::ExitInvalidSettings;
   }
   const auto& settings = std::get<0>(parsed);
   sycamore::base::SetLogInstance(settings.mInstance);
--- a/modules/daemon/src/run.cpp
+++ b/modules/daemon/src/run.cpp
@@ -67,7 +67,7 @@
   if (!base::IsOk(started)) {
     Log(LogEvent::SettingsInvalid, "start failed: {}", base::ErrorOf(started).mMessage);
     aService.Stop();
-    return kExitStartFailed;
+    return ExitStartFailed;
   }
   std::optional<int> signal;
   while (!signal) {
@@ -77,7 +77,7 @@
   const bool drained = Drain(aService, aDrainLimit);
   aService.Stop();
   Log(LogEvent::ProcessStopped, "drained={}", drained);
-  return drained ? kExitOk : kExitDrainIncomplete;
+  return drained ? ExitOk : ExitDrainIncomplete;
 }
 
 }
