--- a/modules/testbed/src/engine_standin.cpp
+++ b/modules/testbed/src/engine_standin.cpp
@@ -33,14 +33,14 @@
 EngineStandin::Simulated(base::TimePoint aReal) const
 {
   const auto elapsed = std::chrono::duration<double>(aReal - mOrigin) * mSettings.mSpeedUp;
-  return mOrigin + std::chrono::duration_cast<base::Clock::duration>(elapsed);
+  // Rounded to the nearest, so that Simulated(Real(time)) never lies before time.
+  return mOrigin + std::chrono::round<base::Clock::duration>(elapsed);
 }
 
 base::TimePoint
 EngineStandin::Real(base::TimePoint aSimulated) const
 {
   const auto elapsed = std::chrono::duration<double>(aSimulated - mOrigin) / mSettings.mSpeedUp;
-  // Rounded up: the inverse of a time that is due must not lie before it.
   return mOrigin + std::chrono::ceil<base::Micros>(elapsed);
 }
 
