--- a/modules/entry/src/entry.cpp
+++ b/modules/entry/src/entry.cpp
@@ -149,6 +149,7 @@
                   [this](ledger::LedgerEvent aEvent) { return Push(std::move(aEvent)); });
   mTable.emplace(mAdapters.mMakeLogClient(),
                  mSettings.mConfigPoll,
+                 mSettings.mRetention,
                  [this](table::TableEvent aEvent) { return Push(std::move(aEvent)); });
 }
 
--- a/modules/entry/src/table_state.cpp
+++ b/modules/entry/src/table_state.cpp
@@ -2,6 +2,7 @@
 
 #include "sycamore/base/log.h"
 
+#include <algorithm>
 #include <boost/json/object.hpp>
 #include <fmt/format.h>
 #include <utility>
@@ -25,7 +26,7 @@
     // A peer may have pushed a table that this reading does not cover yet; it never reverts.
     if (mTable == nullptr || confirmed->mTable->mVersion >= mTable->mVersion) {
       mTable = confirmed->mTable;
-      mConfirmed = mContext.mNow;
+      mConfirmed = std::max(mConfirmed, confirmed->mReadAt);
     }
   } else if (const auto* unconfirmed = std::get_if<table::TableUnconfirmed>(&aEvent)) {
     if (!mLogDown) {
