Reclaim reservations of idle programs, park calls of a draining owner

Cause: a sub-agent could not use tokens that its waiting parent held in advance; a draining owner rejected calls that the next owner can take; event ids of two calls with the same seq in one epoch were equal. Ruled out: rejecting with 503 stopping, since a long call in flight would keep the whole partition rejecting.

--- a/modules/entry/src/api.cpp
+++ b/modules/entry/src/api.cpp
@@ -246,7 +246,9 @@
   for (uint32_t i = 0; !parent && i < mPartitions.Count(); ++i) {
     // Any partition will do; one of this entry saves a hop.
     const uint32_t candidate = (partition + i) % mPartitions.Count();
-    if (mPartitions.Owned(candidate) != nullptr) {
+    const bool usable = mContext.mDraining ? !mPartitions.RemoteOwner(candidate).empty()
+                                           : mPartitions.Owned(candidate) != nullptr;
+    if (usable) {
       partition = candidate;
       break;
     }
--- a/modules/entry/src/call.h
+++ b/modules/entry/src/call.h
@@ -46,12 +46,17 @@
 // A call at its owner, from its acceptance to the fold of its record.
 struct Call
 {
-  Call(const base::ProgramId& aProgram, CallRequest aRequest, uint64_t aEpoch, CallPhase aStart)
+  // aFirstEvent is the index of the call's first event.
+  Call(const base::ProgramId& aProgram,
+       CallRequest aRequest,
+       uint64_t aEpoch,
+       CallPhase aStart,
+       uint64_t aFirstEvent = 0)
     : mProgram(aProgram)
     , mRequest(std::move(aRequest))
     , mEpoch(aEpoch)
     , mLife(aStart)
-    , mEvents(aEpoch)
+    , mEvents(aEpoch, aFirstEvent)
   {
   }
 
@@ -78,7 +83,7 @@
 
   Attempt mAttempt;
   bool mPending = false;           // The present attempt was sent and has no outcome.
-  bool mMayHaveRun = false;        // An earlier attempt may have run.
+  bool mMayHaveRun = false;        // An earlier attempt may have run, or the present one did.
   bool mIntentFolded = false;      // Of a non-idempotent call: its intent is the first for its key.
   std::set<std::string> mExcluded; // Targets not to be tried again.
   base::Error mLastError{ base::ErrorKind::NoTarget, "no target of the service is available", "" };
--- a/modules/entry/src/call_book.cpp
+++ b/modules/entry/src/call_book.cpp
@@ -79,10 +79,14 @@
   }
 }
 
-// A call whose outcome is recorded as unknown has been answered; it only waits for a better one.
+// A call whose outcome is recorded as unknown has been answered; it only waits for a better one. A
+// call found in the log for which nobody waits can as well be sealed by the next owner.
 static bool
 IsInFlight(const Call& aCall)
 {
+  if (aCall.mLife.Phase() == CallPhase::Sealing && aCall.mWaiters.empty()) {
+    return false;
+  }
   return aCall.mOutcome != wire::LogOutcomeKind::Unknown ||
          aCall.mLife.Phase() == CallPhase::Committing;
 }
--- a/modules/entry/src/call_intake.cpp
+++ b/modules/entry/src/call_intake.cpp
@@ -15,12 +15,12 @@
                        CallRunner& aRunner,
                        Answers& aAnswers,
                        ProgramMemory& aMemory,
-                       std::function<void(const base::ProgramId&)> aOnTurnLimit)
+                       std::function<void(const Incoming&, uint32_t)> aOnDraining)
   : mParts(aParts)
   , mRunner(aRunner)
   , mAnswers(aAnswers)
   , mMemory(aMemory)
-  , mOnTurnLimit(std::move(aOnTurnLimit))
+  , mOnDraining(std::move(aOnDraining))
 {
 }
 
@@ -69,6 +69,10 @@
     mAnswers.Fail(aIncoming.mReply, *refusal);
     return;
   }
+  if (mParts.mContext.mDraining) {
+    mOnDraining(aIncoming, aId.mPartition);
+    return;
+  }
   Start(request);
 }
 
@@ -182,16 +186,13 @@
   if (program.mEnded || mParts.mPrograms.IsEnding(state, aRequest.mId)) {
     return Error{ ErrorKind::ProgramEnded, "the program has ended", "program" };
   }
-  if (mParts.mContext.mDraining) {
-    return Error{ ErrorKind::Stopping, "the entry is stopping; try again", "" };
-  }
   if (aRequest.mCall.mSeq != program.mNextSeq) {
     return Error{ ErrorKind::TurnOutOfOrder,
                   fmt::format("the next seq is {}", program.mNextSeq),
                   "seq" };
   }
   if (program.mMaxTurns > 0 && program.mNextSeq > program.mMaxTurns) {
-    mOnTurnLimit(aRequest.mId);
+    mParts.mOnLimit(aRequest.mId, "turn_limit");
     return Error{ ErrorKind::TurnLimit, "the program has reached its turn limit", "seq" };
   }
   return std::nullopt;
@@ -204,11 +205,16 @@
     return stale;
   }
   const Context& context = mParts.mContext;
-  if (!mParts.mRouter.IsKnown(aRequest.mCall.mService)) {
+  const std::string kind = mParts.mRouter.KindOf(aRequest.mCall.mService);
+  if (kind.empty()) {
     // Sidecars may not have connected yet shortly after the start.
     const bool starting = context.mNow - context.mStarted < 2 * context.mSettings.mOwnerTimeout;
-    const ErrorKind kind = starting ? ErrorKind::NoTarget : ErrorKind::UnknownService;
-    return Error{ kind, "no target of this service is known", "service" };
+    const ErrorKind unknown = starting ? ErrorKind::NoTarget : ErrorKind::UnknownService;
+    return Error{ unknown, "no target of this service is known", "service" };
+  }
+  const bool model = aRequest.mCall.mKind == wire::CallKind::Model;
+  if (model != (kind == "engine")) {
+    return Error{ ErrorKind::InvalidField, "the service takes calls of the other kind", "kind" };
   }
   const bool logDown =
     mParts.mTable.LogDown() || mParts.mPartitions.IsTroubled(aRequest.mId.mPartition);
@@ -284,8 +290,7 @@
     std::chrono::duration_cast<base::Millis>(mParts.mContext.mNow - runtime->mActive));
   runtime->mActive = mParts.mContext.mNow;
   if (!call.IsModel()) {
-    call.mLife.Take(CallStep::Load);
-    mRunner.OnReady(call);
+    mRunner.Reserve(call);
     return;
   }
   call.mCharged = runtime->mCarryTokens;
@@ -321,39 +326,7 @@
   call->mPrompt += call->mRequest.mMessages;
   call->mPromptTokens += call->mRequest.mNewTokens;
   call->mNeed = call->mPromptTokens + call->mRequest.mMaxTokens;
-  Reserve(*call);
-}
-
-void
-CallIntake::Reserve(Call& aCall)
-{
-  const ledger::PartitionState& state = *mParts.mPartitions.Owned(aCall.mProgram.mPartition);
-  const uint64_t present = state.mPrograms.at(aCall.mProgram).mReservedTokens;
-  const uint64_t wanted = aCall.mCharged + aCall.mNeed;
-  if (wanted <= present) {
-    aCall.mLife.Take(CallStep::Load);
-    mRunner.OnReady(aCall);
-    return;
-  }
-  if (wanted - present > mParts.mPrograms.FreeTokens(state, aCall.mProgram)) {
-    mRunner.Fail(
-      aCall,
-      { ErrorKind::BudgetExceeded,
-        fmt::format("the call may need {} tokens more than the budget has left",
-                    wanted - present - mParts.mPrograms.FreeTokens(state, aCall.mProgram)),
-        "max_tokens" });
-    return;
-  }
-  const bool queued = mParts.mRecorder.Reserve(aCall, wanted, [this](Call& aFolded) {
-    if (aFolded.mLife.Take(CallStep::Reserved)) {
-      mRunner.OnReady(aFolded);
-    }
-  });
-  if (!queued) {
-    mRunner.Fail(aCall, { ErrorKind::Overloaded, "too many records wait for the log", "" });
-    return;
-  }
-  aCall.mLife.Take(CallStep::Reserve);
+  mRunner.Reserve(*call);
 }
 
 void
--- a/modules/entry/src/call_intake.h
+++ b/modules/entry/src/call_intake.h
@@ -13,12 +13,12 @@
 class CallIntake
 {
 public:
-  // aOnTurnLimit ends a program that has reached its turn limit.
+  // aOnDraining keeps a request for the next owner of the partition while this entry is stopping.
   CallIntake(const CallParts& aParts,
              CallRunner& aRunner,
              Answers& aAnswers,
              ProgramMemory& aMemory,
-             std::function<void(const base::ProgramId&)> aOnTurnLimit);
+             std::function<void(const Incoming&, uint32_t)> aOnDraining);
 
   // POST of a call. The program's partition is owned here.
   void Submit(const Incoming& aIncoming, const base::ProgramId& aId, CallRequest aRequest);
@@ -49,7 +49,6 @@
   void OnHistory(const base::ProgramId& aId,
                  uint32_t aSeq,
                  base::Result<std::vector<History::TextPtr>> aTexts);
-  void Reserve(Call& aCall);
   void Attach(Call& aCall, const Incoming& aIncoming, const CallRequest& aRequest);
   void Replay(const Incoming& aIncoming,
               const base::ProgramId& aId,
@@ -66,7 +65,7 @@
   CallRunner& mRunner;
   Answers& mAnswers;
   ProgramMemory& mMemory;
-  std::function<void(const base::ProgramId&)> mOnTurnLimit;
+  std::function<void(const Incoming&, uint32_t)> mOnDraining;
 };
 
 // Finds a program; UnknownProgram or ProgramExpired if it is not in the state.
--- a/modules/entry/src/call_recorder.cpp
+++ b/modules/entry/src/call_recorder.cpp
@@ -47,18 +47,12 @@
 }
 
 bool
-CallRecorder::Reserve(Call& aCall, uint64_t aTokens, Done aDone)
+CallRecorder::Reserve(Call& aCall, uint64_t aTokens, uint64_t aRise, Done aDone)
 {
-  const ledger::PartitionState* state = mPartitions.Owned(aCall.mProgram.mPartition);
-  if (state == nullptr) {
-    return false;
-  }
-  const uint64_t present = state->mPrograms.at(aCall.mProgram).mReservedTokens;
-  assert(aTokens > present);
   wire::LogReservedT record;
   record.program = ToLog(aCall.mProgram);
   record.reserved_tokens = aTokens;
-  return Append(aCall, wire::MakeEntry(std::move(record)), aTokens - present, std::move(aDone));
+  return Append(aCall, wire::MakeEntry(std::move(record)), aRise, std::move(aDone));
 }
 
 bool
@@ -83,7 +77,7 @@
   if (state == nullptr) {
     return false;
   }
-  const uint64_t present = state->mPrograms.at(aCall.mProgram).mReservedTokens;
+  const uint64_t present = mPrograms.Reserved(*state, aCall.mProgram);
   // The engine may report more than the upper bound that was reserved; the budget holds.
   const uint64_t used = std::min(aCall.mUsedTokens, present);
   uint64_t reserved = present;
--- a/modules/entry/src/call_recorder.h
+++ b/modules/entry/src/call_recorder.h
@@ -24,8 +24,8 @@
 
   // Each returns false if the ledger has no room; nothing is appended then.
 
-  // Raises the durable reservation of the call's program to aTokens.
-  bool Reserve(Call& aCall, uint64_t aTokens, Done aDone);
+  // Raises the durable reservation of the call's program by aRise to aTokens.
+  bool Reserve(Call& aCall, uint64_t aTokens, uint64_t aRise, Done aDone);
 
   // Names the target and sidecar of aCall's attempt.
   bool Intent(Call& aCall, Done aDone);
--- a/modules/entry/src/call_recovery.cpp
+++ b/modules/entry/src/call_recovery.cpp
@@ -21,6 +21,10 @@
 // wait or not.
 static constexpr base::Millis kTargetWait{ 5000 };
 
+// Targets that refused or lost an attempt are not tried again for this time, unless there is no
+// other.
+static constexpr base::Millis kExclusionTime{ 500 };
+
 // A question that got no answer on an open connection is asked again after this time.
 static constexpr base::Millis kAskAgain{ 2000 };
 
@@ -239,8 +243,7 @@
     if (aCall.mRequest.mRepeatable) {
       Cancel(aCall);
     }
-    const bool appended = aCall.mLife.Phase() == Phase::Committing;
-    const bool ran = aCall.mMayHaveRun || aCall.mPending || appended;
+    const bool ran = aCall.mMayHaveRun || aCall.mPending;
     const ErrorKind kind = ran ? ErrorKind::OwnerUnavailable : ErrorKind::NotOwner;
     Fail(aCall, { kind, "the program has a new owner; send the same request again", "" });
   });
@@ -306,6 +309,9 @@
   const base::TimePoint now = mParts.mContext.mNow;
   switch (aCall.mLife.Phase()) {
     case Phase::Ready:
+      if (now - aCall.mReadySince >= kExclusionTime) {
+        aCall.mExcluded.clear();
+      }
       TryDispatch(aCall);
       if (aCall.mLife.Phase() == Phase::Ready && now - aCall.mReadySince >= kTargetWait) {
         Fail(aCall, aCall.mLastError);
@@ -329,6 +335,12 @@
       }
       [[fallthrough]];
     case Phase::Sealing: {
+      const ledger::PartitionState* state = mParts.mPartitions.Owned(aCall.mProgram.mPartition);
+      if (state != nullptr && !state->mPrograms.contains(aCall.mProgram)) {
+        // A checkpoint dropped the ended program; a better outcome has no place any more.
+        Finish(aCall);
+        break;
+      }
       const Peer* peer = mParts.mPeers.Sidecar(aCall.mAttempt.mRoute.mSidecar);
       const bool due = now - aCall.mAttempt.mAskedAt >= kAskAgain;
       if (peer != nullptr && due && !aCall.mAttempt.mFound) {
--- a/modules/entry/src/call_results.cpp
+++ b/modules/entry/src/call_results.cpp
@@ -5,7 +5,7 @@
 #include "sycamore/base/log.h"
 #include "wire_ids.h"
 
-#include <boost/json/serialize.hpp>
+#include <algorithm>
 #include <fmt/format.h>
 #include <utility>
 
@@ -17,12 +17,6 @@
 using Step = CallStep;
 using wire::LogOutcomeKind;
 
-static std::string
-TokenData(const std::string& aText)
-{
-  return boost::json::serialize(boost::json::object{ { "text", aText } });
-}
-
 void
 CallRunner::OnToken(transport::LinkId, const wire::CallTokenT& aToken)
 {
@@ -40,7 +34,7 @@
   }
   ++attempt.mNextToken;
   attempt.mText += aToken.text;
-  mParts.mDelivery.Event(*call, "token", TokenData(aToken.text));
+  mParts.mDelivery.Token(*call, aToken.text);
 }
 
 // Passes on what the streams have not seen of the complete text.
@@ -52,10 +46,10 @@
   }
   const std::string& seen = aCall.mAttempt.mText;
   if (!aContent.starts_with(seen)) {
-    mParts.mDelivery.Event(aCall, "reset", "{}");
-    mParts.mDelivery.Event(aCall, "token", TokenData(aContent));
+    mParts.mDelivery.Reset(aCall);
+    mParts.mDelivery.Token(aCall, aContent);
   } else if (seen.size() < aContent.size()) {
-    mParts.mDelivery.Event(aCall, "token", TokenData(aContent.substr(seen.size())));
+    mParts.mDelivery.Token(aCall, std::string_view(aContent).substr(seen.size()));
   }
 }
 
@@ -174,6 +168,7 @@
     text->mAnswer = ToolAnswer(aOutcome.body, aOutcome.status);
   }
   DeriveText(*text);
+  aCall.mMayHaveRun = true;
   aCall.mResult = std::move(text);
   aCall.mLife.Take(Step::Decide);
   CommitTurn(aCall);
@@ -215,6 +210,7 @@
     return;
   }
   aCall.mLastError = ErrorOfOutcome(aOutcome);
+  aCall.mMayHaveRun = aOutcome.result != wire::CallResult::NotRun;
   if (aOutcome.result == wire::CallResult::NotRun) {
     Decide(aCall, LogOutcomeKind::NotRun, nullptr);
     return;
@@ -334,17 +330,11 @@
             aCall.mRequest.mSeq,
             aError.mMessage);
   if (!aCall.mAttempt.mText.empty()) {
-    mParts.mDelivery.Event(aCall, "reset", "{}");
+    mParts.mDelivery.Reset(aCall);
   }
   aCall.mAttempt = Attempt{};
   aCall.mLife.Take(Step::Retry);
-  if (!ReserveMore(aCall)) {
-    Fail(aCall, { ErrorKind::BudgetExceeded, "the budget does not allow another attempt", "" });
-    return;
-  }
-  if (aCall.mLife.Phase() == Phase::Ready) {
-    OnReady(aCall);
-  }
+  Reserve(aCall);
 }
 
 void
@@ -387,6 +377,7 @@
   }
   if (ProgramRuntime* runtime = mParts.mPrograms.Find(aCall.mProgram)) {
     runtime->mActive = now;
+    runtime->mNextEvent = std::max(runtime->mNextEvent, aCall.mEvents.NextIndex());
     // mCharged starts as the carried tokens, so it replaces them.
     if (aCall.IsModel() && aCall.mCharged > 0) {
       runtime->mCarryTokens = aCall.mCharged;
--- a/modules/entry/src/call_runner.cpp
+++ b/modules/entry/src/call_runner.cpp
@@ -4,6 +4,7 @@
 #include "wire_ids.h"
 
 #include <algorithm>
+#include <boost/json/serialize.hpp>
 #include <fmt/format.h>
 #include <utility>
 
@@ -116,8 +117,8 @@
   dispatch.prompt_tokens = aCall.mPromptTokens;
   dispatch.max_tokens = request.mMaxTokens;
   if (aCall.IsModel()) {
-    dispatch.body = fmt::format(R"({{"model":"{}","messages":[{}],"max_tokens":{}}})",
-                                request.mService,
+    dispatch.body = fmt::format(R"({{"model":{},"messages":[{}],"max_tokens":{}}})",
+                                boost::json::serialize(request.mService),
                                 aCall.mPrompt,
                                 request.mMaxTokens);
   } else {
@@ -155,32 +156,45 @@
   return true;
 }
 
-// Raises the reservation so that another attempt fits beside what earlier ones may have used.
-// Returns false if the budget does not allow it.
-bool
-CallRunner::ReserveMore(Call& aCall)
+void
+CallRunner::FailByBudget(Call& aCall)
 {
-  const ledger::PartitionState* state = mParts.mPartitions.Owned(aCall.mProgram.mPartition);
-  if (state == nullptr) {
-    return false;
-  }
-  const uint64_t wanted = aCall.mCharged + aCall.mNeed;
-  const uint64_t present = state->mPrograms.at(aCall.mProgram).mReservedTokens;
-  if (wanted <= present) {
-    return true;
-  }
-  if (wanted - present > mParts.mPrograms.FreeTokens(*state, aCall.mProgram)) {
-    return false;
+  const base::ProgramId program = aCall.mProgram;
+  Fail(aCall,
+       { ErrorKind::BudgetExceeded,
+         fmt::format("the call may use {} tokens, more than the budget has left", aCall.mNeed),
+         "max_tokens" });
+  const ledger::PartitionState* state = mParts.mPartitions.Owned(program.mPartition);
+  const bool spent = state != nullptr && mParts.mPrograms.FreeTokens(*state, program) == 0 &&
+                     mParts.mPrograms.Reserved(*state, program) == 0;
+  if (spent && mParts.mOnLimit) {
+    mParts.mOnLimit(program, "budget");
   }
-  const bool queued = mParts.mRecorder.Reserve(aCall, wanted, [this](Call& aFolded) {
+}
+
+void
+CallRunner::Reserve(Call& aCall)
+{
+  const auto ready = [this](Call& aFolded) {
     if (aFolded.mLife.Take(Step::Reserved)) {
       OnReady(aFolded);
     }
-  });
-  if (queued) {
-    aCall.mLife.Take(Step::Reserve);
+  };
+  switch (mParts.mReservations.Ensure(aCall, ready)) {
+    case ReserveResult::Enough:
+      aCall.mLife.Take(Step::Load);
+      OnReady(aCall);
+      break;
+    case ReserveResult::Appended:
+      aCall.mLife.Take(Step::Reserve);
+      break;
+    case ReserveResult::NoBudget:
+      FailByBudget(aCall);
+      break;
+    case ReserveResult::NoRoom:
+      Fail(aCall, { ErrorKind::Overloaded, "too many records wait for the log", "" });
+      break;
   }
-  return queued;
 }
 
 }
--- a/modules/entry/src/call_runner.h
+++ b/modules/entry/src/call_runner.h
@@ -5,12 +5,14 @@
 #include "delivery.h"
 #include "history.h"
 #include "peers.h"
+#include "reservations.h"
 #include "router.h"
 #include "sycamore/policy/admission.h"
 #include "sycamore/policy/retry_budget.h"
 #include "table_state.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -28,8 +30,11 @@
   Peers& mPeers;
   policy::Admission& mAdmission;
   ProgramBook& mPrograms;
+  Reservations& mReservations;
   Router& mRouter;
   TableState& mTable;
+  // Ends a program that has reached a limit, which is named.
+  std::function<void(const base::ProgramId&, const std::string&)> mOnLimit;
 };
 
 // Brings accepted calls to their end: routing, dispatch, retries, lookups, seals and commits.
@@ -60,6 +65,10 @@
   void OnLinkLost(transport::LinkId aLink);
   void OnTick();
 
+  // The prompt and need of the call are known: makes its reservation durable and goes on. Fails the
+  // call if the budget does not allow it.
+  void Reserve(Call& aCall);
+
   // Ends a call with an error; its callers are told that it did not run unless an attempt may have.
   void Fail(Call& aCall, const base::Error& aError);
 
@@ -77,8 +86,8 @@
   void SendIntended(Call& aCall);
   bool Send(Call& aCall);
   wire::DispatchT MakeDispatch(Call& aCall) const;
+  void FailByBudget(Call& aCall);
   policy::RouteRequest RouteRequestOf(const Call& aCall) const;
-  bool ReserveMore(Call& aCall);
 
   // Results (call_results.cpp).
   void OnRepeatableOutcome(Call& aCall, const wire::CallOutcomeT& aOutcome);
--- a/modules/entry/src/core_impl.cpp
+++ b/modules/entry/src/core_impl.cpp
@@ -12,6 +12,9 @@
 // Upper bound of the time that a request without a deadline of its own may take here.
 static constexpr base::Millis kLongestRequest{ 24LL * 3600 * 1000 };
 
+// Buckets of table rows that were not used for this time are dropped; they would be full anyway.
+static constexpr base::Millis kRowIdle{ 60000 };
+
 EntryCore::Impl::Impl(Context aContext)
   : mContext(std::move(aContext))
   , mAnswers(mContext)
@@ -24,6 +27,7 @@
   , mHistory(mContext)
   , mDelivery(mAnswers)
   , mRecorder(mCalls, mCommits, mPartitions, mPrograms)
+  , mReservations(mCalls, mCommits, mPartitions, mPrograms, mRecorder)
   , mRunner(CallParts{ mContext,
                        mCalls,
                        mRecorder,
@@ -33,15 +37,21 @@
                        mPeers,
                        mAdmission,
                        mPrograms,
+                       mReservations,
                        mRouter,
-                       mTable })
+                       mTable,
+                       [this](const base::ProgramId& aId, const std::string& aLimit) {
+                         mService.EndByLimit(aId, aLimit);
+                       } })
   , mMemory(mContext, mPeers, mPrograms, mRouter)
   , mService(mRunner.Parts(), mAnswers, mCommits, mRunner, mMemory)
   , mIntake(mRunner.Parts(),
             mRunner,
             mAnswers,
             mMemory,
-            [this](const base::ProgramId& aId) { mService.EndByLimit(aId, "turn_limit"); })
+            [this](const Incoming& aIncoming, uint32_t aPartition) {
+              mForwarder.Forward(aIncoming, aPartition);
+            })
   , mForwarder(mContext, mAnswers, mPeers, mPartitions)
   , mCheckpoints(mContext, mCommits, mPartitions, mPrograms)
   , mMembership(mContext, mPeers, mPartitions, mTable)
@@ -99,7 +109,7 @@
 EntryCore::Impl::OnAcquired(uint32_t aPartition)
 {
   const ledger::PartitionState& state = *mPartitions.Owned(aPartition);
-  mPrograms.OnAcquired(state);
+  mPrograms.OnAcquired(state, mPartitions.At(aPartition).mReleased);
   mCheckpoints.OnAcquired(aPartition);
   mRunner.OnAcquired(state);
   RunParked(aPartition);
@@ -202,6 +212,7 @@
   mMemory.OnTick();
   mForwarder.OnTick();
   mCheckpoints.OnTick();
+  mAdmission.Trim(kRowIdle, mContext.mNow);
   if (mContext.mDraining) {
     ReleaseIdle();
   }
--- a/modules/entry/src/core_impl.h
+++ b/modules/entry/src/core_impl.h
@@ -78,6 +78,7 @@
   CallBook mCalls;
   Delivery mDelivery;
   CallRecorder mRecorder;
+  Reservations mReservations;
   CallRunner mRunner;
   ProgramMemory mMemory;
   ProgramService mService;
--- a/modules/entry/src/delivery.cpp
+++ b/modules/entry/src/delivery.cpp
@@ -1,6 +1,5 @@
 #include "delivery.h"
 
-#include <boost/json/serialize.hpp>
 #include <utility>
 
 namespace sycamore::entry {
@@ -40,9 +39,22 @@
 }
 
 void
-Delivery::Event(Call& aCall, std::string_view aName, std::string_view aData)
+Delivery::Token(Call& aCall, std::string_view aText)
+{
+  aCall.mEvents.AddToken(aText);
+  FlushAll(aCall);
+}
+
+void
+Delivery::Reset(Call& aCall)
+{
+  aCall.mEvents.AddReset();
+  FlushAll(aCall);
+}
+
+void
+Delivery::FlushAll(Call& aCall)
 {
-  aCall.mEvents.Add(aName, aData);
   std::erase_if(aCall.mWaiters,
                 [this](const Waiter& aWaiter) { return !mAnswers.IsOpen(aWaiter.mReply); });
   for (Waiter& waiter : aCall.mWaiters) {
@@ -56,7 +68,7 @@
 Delivery::Done(Call& aCall, const TurnText& aResult)
 {
   const std::string body = CallerAnswer(aResult.mSeq, aResult.mAnswer);
-  aCall.mEvents.Add("done", body);
+  aCall.mEvents.AddDone(body);
   for (Waiter& waiter : aCall.mWaiters) {
     if (waiter.mStream) {
       Flush(aCall, waiter, true);
@@ -127,8 +139,7 @@
   }
   const std::optional<std::string> content = ContentOf(aResult.mAnswer);
   if (content) {
-    part.mBody +=
-      RenderEvent("token", boost::json::serialize(boost::json::object{ { "text", *content } }));
+    part.mBody += RenderToken(*content);
   }
   part.mBody += RenderEvent("done", body);
   mAnswers.Send(aReply, std::move(part));
--- a/modules/entry/src/delivery.h
+++ b/modules/entry/src/delivery.h
@@ -17,8 +17,11 @@
   // Adds a caller and sends it the events so far from where aLastEventId ends.
   void Attach(Call& aCall, Waiter aWaiter, const std::string& aLastEventId);
 
-  // Numbers an event and sends it to all streams.
-  void Event(Call& aCall, std::string_view aName, std::string_view aData);
+  // Sends a token to all streams.
+  void Token(Call& aCall, std::string_view aText);
+
+  // Tells all streams that the text so far is void.
+  void Reset(Call& aCall);
 
   // Answers all callers with the committed result and removes them.
   void Done(Call& aCall, const TurnText& aResult);
@@ -36,6 +39,7 @@
   void Replay(const ReplyTo& aReply, const TurnText& aResult, bool aStream, bool aReset);
 
 private:
+  void FlushAll(Call& aCall);
   void Flush(Call& aCall, Waiter& aWaiter, bool aLast);
   void FailOne(Call& aCall,
                Waiter& aWaiter,
--- a/modules/entry/src/event_buffer.h
+++ b/modules/entry/src/event_buffer.h
@@ -24,28 +24,60 @@
 std::string
 RenderEvent(std::string_view aName, std::string_view aData);
 
-// The numbered events of one call, kept for replay until the call is answered.
+// A token event without id.
+std::string
+RenderToken(std::string_view aText);
+
+// The numbered events of one call, kept for replay until the call is answered. Token texts are kept
+// end to end, since a call has many short ones.
 class EventBuffer
 {
 public:
-  // aEpoch is the owner's epoch of the partition.
-  explicit EventBuffer(uint64_t aEpoch);
+  // aEpoch is the owner's epoch of the partition. aFirst is the index of the first event; it is
+  // above those of earlier calls with the same sequence number in the epoch.
+  EventBuffer(uint64_t aEpoch, uint64_t aFirst);
+
+  void AddToken(std::string_view aText);
+
+  // What was sent so far is void; a new attempt follows.
+  void AddReset();
 
-  void Add(std::string_view aName, std::string_view aData);
+  void AddDone(std::string_view aData);
 
   // Number of events so far.
   size_t Size() const { return mEvents.size(); }
 
-  // The text of the events from aFrom on.
+  // Index after the last event.
+  uint64_t NextIndex() const { return mFirst + mEvents.size(); }
+
+  // The text of the events from position aFrom on.
   std::string TextFrom(size_t aFrom) const;
 
-  // Where a replay for aLastEventId starts. aReset is set if the id is of another epoch or not of
-  // this buffer; the replay then starts at 0 and a reset event goes first.
+  // Position at which a replay for aLastEventId starts. aReset is set if the id is of another epoch
+  // or not of this call; the replay then starts at 0 and a reset event goes first.
   size_t ReplayFrom(std::string_view aLastEventId, bool& aReset) const;
 
 private:
+  enum class Kind : uint8_t
+  {
+    Token,
+    Reset,
+    Done,
+  };
+
+  struct Event
+  {
+    Kind mKind;
+    uint32_t mEnd; // Of its text in mText.
+  };
+
+  void Add(Kind aKind, std::string_view aText);
+  std::string Render(size_t aPosition) const;
+
   uint64_t mEpoch;
-  std::vector<std::string> mEvents;
+  uint64_t mFirst;
+  std::string mText;
+  std::vector<Event> mEvents;
 };
 
 }
--- a/modules/entry/src/partition_map.cpp
+++ b/modules/entry/src/partition_map.cpp
@@ -86,9 +86,14 @@
   });
 }
 
+// A connected owner is alive: the transport closes a silent connection after the silence limit or
+// three heartbeat intervals, whichever is longer.
 bool
 PartitionMap::OwnerIsAlive(const Partition& aPartition)
 {
+  if (!aPartition.mOwner.empty() && mPeers.Entry(aPartition.mOwner) != nullptr) {
+    return true;
+  }
   return mContext.mNow - aPartition.mOwnerHeard < mContext.mSettings.mOwnerTimeout;
 }
 
@@ -118,20 +123,35 @@
     return;
   }
   const ledger::PartitionState& state = *aEvent.mState;
-  const Peer* owner = state.mOwner.empty() ? nullptr : mPeers.Entry(state.mOwner);
-  const bool connected = owner != nullptr && owner->mIncarnation == state.mOwnerIncarnation;
-  if (connected && state.mEpoch > partition.mOwnerEpoch) {
-    // A connected owner that was not known before gets one owner timeout to name the partition in
-    // a heartbeat.
+  if (mContext.mDraining || IsNewOwner(partition, state)) {
     partition.mPhase = Phase::Idle;
     mContext.mEffects.Abandon(index);
-    NoteOwner(index, state.mOwner, state.mEpoch);
+    if (!state.mOwner.empty()) {
+      NoteOwner(index, state.mOwner, state.mEpoch);
+    }
     return;
   }
   partition.mState = aEvent.mState;
+  partition.mReleased = state.mEpoch > 0 && state.mOwner.empty();
   TryClaim(index);
 }
 
+// Whether the log names another owner that was not known here and may be alive: one that is
+// connected, or any if this process was paused and so could not hear it. Such an owner gets one
+// owner timeout to name the partition in a heartbeat.
+bool
+PartitionMap::IsNewOwner(const Partition& aPartition, const ledger::PartitionState& aState)
+{
+  const bool other = !aState.mOwner.empty() && aState.mOwnerIncarnation != mContext.mIncarnation;
+  if (!other || aState.mEpoch <= aPartition.mOwnerEpoch) {
+    return false;
+  }
+  const Peer* owner = mPeers.Entry(aState.mOwner);
+  const bool connected = owner != nullptr && owner->mIncarnation == aState.mOwnerIncarnation;
+  const bool paused = mPaused && mContext.mNow - *mPaused < mContext.mSettings.mOwnerTimeout;
+  return connected || paused;
+}
+
 void
 PartitionMap::TryClaim(uint32_t aPartition)
 {
@@ -287,6 +307,7 @@
 void
 PartitionMap::OnPause()
 {
+  mPaused = mContext.mNow;
   for (uint32_t i = 0; i < Count(); ++i) {
     if (mPartitions[i].mPhase != Phase::Idle) {
       Reopen(i);
--- a/modules/entry/src/partition_map.h
+++ b/modules/entry/src/partition_map.h
@@ -27,7 +27,8 @@
   PartitionPhase mPhase = PartitionPhase::Idle;
   std::shared_ptr<ledger::PartitionState> mState; // Null in phases Idle and Opening.
   uint64_t mEpoch = 0;                            // Of this entry's claim.
-  std::string mOwner;                             // Of another entry; empty if not known.
+  bool mReleased = false; // Whether the stream was released before this entry's claim.
+  std::string mOwner;     // Of another entry; empty if not known.
   uint64_t mOwnerEpoch = 0;
   base::TimePoint mOwnerHeard;
   base::TimePoint mNextTry;                // Of opening or claiming.
@@ -94,6 +95,7 @@
 private:
   bool IsFirstInOrder(uint32_t aPartition);
   bool OwnerIsAlive(const Partition& aPartition);
+  bool IsNewOwner(const Partition& aPartition, const ledger::PartitionState& aState);
   void TryClaim(uint32_t aPartition);
   void NoteOwner(uint32_t aPartition, const std::string& aOwner, uint64_t aEpoch);
   void Claimed(uint32_t aPartition, CommitResult aResult);
@@ -104,6 +106,7 @@
   Commits& mCommits;
   PartitionObserver& mObserver;
   std::vector<Partition> mPartitions;
+  std::optional<base::TimePoint> mPaused; // When the last pause of this process was noticed.
 };
 
 }
--- a/modules/entry/src/program_book.cpp
+++ b/modules/entry/src/program_book.cpp
@@ -11,7 +11,7 @@
 }
 
 void
-ProgramBook::OnAcquired(const ledger::PartitionState& aState)
+ProgramBook::OnAcquired(const ledger::PartitionState& aState, bool aReleased)
 {
   for (const auto& [id, program] : aState.mPrograms) {
     if (program.mEnded) {
@@ -20,7 +20,7 @@
     ProgramRuntime& runtime = Add(id);
     runtime.mBorn = mContext.mNow - program.mElapsed;
     // A call that the former owner had in flight may have used the whole reservation.
-    runtime.mCarryTokens = program.mReservedTokens;
+    runtime.mCarryTokens = aReleased ? 0 : program.mReservedTokens;
   }
 }
 
@@ -38,7 +38,9 @@
 ProgramBook::Add(const base::ProgramId& aId)
 {
   ProgramRuntime& runtime = mPrograms[aId];
-  runtime = ProgramRuntime{ mContext.mNow, mContext.mNow, false, 0 };
+  runtime = ProgramRuntime{};
+  runtime.mBorn = mContext.mNow;
+  runtime.mActive = mContext.mNow;
   return runtime;
 }
 
@@ -80,6 +82,14 @@
   return false;
 }
 
+uint64_t
+ProgramBook::Reserved(const ledger::PartitionState& aState, const base::ProgramId& aId)
+{
+  const uint64_t folded = aState.mPrograms.at(aId).mReservedTokens;
+  const ProgramRuntime* runtime = Find(aId);
+  return runtime == nullptr ? folded : std::min(folded, runtime->mLowered.value_or(folded));
+}
+
 uint64_t
 ProgramBook::FreeTokens(const ledger::PartitionState& aState, const base::ProgramId& aId) const
 {
--- a/modules/entry/src/program_book.h
+++ b/modules/entry/src/program_book.h
@@ -6,17 +6,20 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace sycamore::entry {
 
 // What the owner knows of a program beyond the log.
 struct ProgramRuntime
 {
-  base::TimePoint mBorn;   // Now minus the program's age; a new owner restores it.
-  base::TimePoint mActive; // Last acceptance or end of a call.
-  bool mEnding = false;    // An end is appended; no other record may follow but outcomes.
-  uint64_t mCarryTokens =
-    0; // Possibly used by calls that were not committed; settled with the next.
+  base::TimePoint mBorn;     // Now minus the program's age; a new owner restores it.
+  base::TimePoint mActive;   // Last acceptance or end of a call.
+  bool mEnding = false;      // An end is appended; no other record may follow but outcomes.
+  uint64_t mCarryTokens = 0; // Possibly used by calls that failed; settled with the next one.
+  uint64_t mNextEvent = 0;   // Index of the next call's first event.
+  // Reservation after an appended record that lowers it.
+  std::optional<uint64_t> mLowered;
 };
 
 // The programs of the partitions owned here, with the budget that records on the way to the log
@@ -26,8 +29,9 @@
 public:
   explicit ProgramBook(Context& aContext);
 
-  // Restores the programs of a partition after a claim.
-  void OnAcquired(const ledger::PartitionState& aState);
+  // Restores the programs of a partition after a claim. aReleased tells that the former owner had
+  // no call in flight.
+  void OnAcquired(const ledger::PartitionState& aState, bool aReleased);
   void OnLost(uint32_t aPartition);
 
   ProgramRuntime& Add(const base::ProgramId& aId);
@@ -41,6 +45,9 @@
   // Whether the program or one of its ancestors is ending or has ended.
   bool IsEnding(const ledger::PartitionState& aState, const base::ProgramId& aId);
 
+  // The reservation of aId that a call may rely on.
+  uint64_t Reserved(const ledger::PartitionState& aState, const base::ProgramId& aId);
+
   // Tokens that a new record may reserve for aId beyond its present reservation.
   uint64_t FreeTokens(const ledger::PartitionState& aState, const base::ProgramId& aId) const;
 
--- a/modules/entry/src/program_service.cpp
+++ b/modules/entry/src/program_service.cpp
@@ -273,24 +273,6 @@
   }
 }
 
-// The fold counts the remaining reservation of an ended program as spent, since calls in flight may
-// use it. What is known not to be used is given back first.
-void
-ProgramService::LowerReservation(const ledger::PartitionState& aState, const base::ProgramId& aId)
-{
-  const ProgramRuntime* runtime = mParts.mPrograms.Find(aId);
-  const ledger::ProgramState& program = aState.mPrograms.at(aId);
-  const bool idle = runtime != nullptr && !mParts.mCalls.AnyInFlight(aId);
-  if (!idle || program.mReservedTokens <= runtime->mCarryTokens) {
-    return;
-  }
-  wire::LogReservedT record;
-  record.program = ToLog(aId);
-  record.reserved_tokens = runtime->mCarryTokens;
-  mCommits.Append(
-    aId.mPartition, wire::MakeEntry(std::move(record)), [](CommitResult, uint64_t) {});
-}
-
 bool
 ProgramService::AppendEnd(const base::ProgramId& aId,
                           const std::string& aReason,
@@ -300,7 +282,8 @@
   std::vector<base::ProgramId> tree;
   ProgramBook::ForTree(state, aId, [&](const base::ProgramId& aOne) { tree.push_back(aOne); });
   for (const base::ProgramId& one : tree) {
-    LowerReservation(state, one);
+    // The fold counts the remaining reservation of an ended program as spent.
+    mParts.mReservations.Lower(state, one);
   }
   wire::LogProgramEndedT record;
   record.program = ToLog(aId);
@@ -388,7 +371,9 @@
     return;
   }
   const auto found = state->mPrograms.find(aId);
-  if (found == state->mPrograms.end()) {
+  if (found == state->mPrograms.end() || found->second.mEnded) {
+    // A sub-agent whose creation and its parent's end were on their way to the log together.
+    OnEnded(aId, std::nullopt);
     return;
   }
   const ledger::ProgramState& program = found->second;
--- a/modules/entry/src/program_service.h
+++ b/modules/entry/src/program_service.h
@@ -54,7 +54,6 @@
   bool AppendEnd(const base::ProgramId& aId,
                  const std::string& aReason,
                  std::optional<ReplyTo> aReply);
-  void LowerReservation(const ledger::PartitionState& aState, const base::ProgramId& aId);
   void OnEnded(const base::ProgramId& aId, std::optional<ReplyTo> aReply);
   void CheckLimits(const base::ProgramId& aId, const ProgramRuntime& aRuntime);
   void AnswerEnded(const ReplyTo& aReply, const base::ProgramId& aId);
--- a/modules/entry/src/router.cpp
+++ b/modules/entry/src/router.cpp
@@ -118,11 +118,18 @@
 Router::OnConnected(const Peer& aPeer)
 {
   for (const auto& [name, target] : aPeer.mTargets) {
-    mServices.insert(target.mInfo.service);
+    mServices[target.mInfo.service] = target.mInfo.kind;
     mSidecarOf[name] = aPeer.mInstance;
   }
 }
 
+std::string
+Router::KindOf(const std::string& aService) const
+{
+  const auto found = mServices.find(aService);
+  return found == mServices.end() ? "" : found->second;
+}
+
 std::set<std::string>
 Router::Holders(const base::ProgramId& aProgram) const
 {
--- a/modules/entry/src/router.h
+++ b/modules/entry/src/router.h
@@ -45,8 +45,9 @@
   void ForgetProgram(const base::ProgramId& aProgram);
   void ForgetPartition(uint32_t aPartition);
 
-  // Whether a target of aService was seen since the start of this process.
-  bool IsKnown(const std::string& aService) const { return mServices.contains(aService); }
+  // "engine" or "tool" by the targets of aService seen since the start of this process; empty if
+  // there was none.
+  std::string KindOf(const std::string& aService) const;
 
   // Notes the services of a new connection.
   void OnConnected(const Peer& aPeer);
@@ -64,7 +65,7 @@
 
   Context& mContext;
   Peers& mPeers;
-  std::set<std::string> mServices;
+  std::map<std::string, std::string> mServices;  // Kinds of targets.
   std::map<std::string, std::string> mSidecarOf; // By target.
   std::map<base::ProgramId, std::map<std::string, uint64_t>> mPrefixes;
   size_t mTurn = 0;
