Add the load generator and the comparison of runs

The two users weigh latency and wasted cache differently; a change can only be judged under a load that resembles theirs and that does not wait for the system.

RunPlan carries the plan out on one loop thread; arrivals never wait for answers. Callers behave as docs/design.md asks of them. Latency is measured from the creation of the first call; "waiting" leaves out the program's own pauses, which otherwise hide the system's share. Waste comes from the stand-in engines' counters before and after; idle cache at the end counts as wasted. `bench compare` prints ratios with the least and greatest repetition and marks only ranges that do not overlap.

Random numbers use no distribution of the standard library, so a seed gives the same plan on every one. Ruled out: closed loop (hides overload), choices made while running (a slow system would change the load).

The module is called bench and is used by ctl; the design's table names bench as a part of ctl.

--- a/modules/ctl/src/command.cpp
+++ b/modules/ctl/src/command.cpp
@@ -22,7 +22,8 @@
 {
   static const std::vector<Command> sCommands = [] {
     std::vector<Command> all;
-    for (auto group : { ProgramCommands(), CallCommands(), TableCommands(), LocalCommands() }) {
+    for (auto group :
+         { ProgramCommands(), CallCommands(), TableCommands(), LocalCommands(), BenchCommands() }) {
       std::move(group.begin(), group.end(), std::back_inserter(all));
     }
     return all;
--- a/modules/ctl/src/flags.cpp
+++ b/modules/ctl/src/flags.cpp
@@ -41,3 +41,12 @@
 DEFINE_string(model_version, "", "Version of the model.");
 DEFINE_string(role, "", "Role of the engines.");
 DEFINE_bool(remove, false, "Remove the order instead.");
+
+DEFINE_string(engines, "", "Addresses of stand-in engines whose counters are read.");
+DEFINE_string(tools, "", "Addresses of stand-in tools whose counters are read.");
+DEFINE_string(out, "", "Writes PREFIX.json, PREFIX.txt and PREFIX.html.");
+DEFINE_string(label, "run", "Name of the variant; runs with one label are repetitions.");
+DEFINE_int64(seed, -1, "Seed of all random choices; -1 takes that of the mix.");
+DEFINE_double(duration_s, 0, "Time in which programs arrive; 0 takes that of the mix.");
+DEFINE_double(drain_s, 60, "Programs still running this long after the last arrival are cut off.");
+DEFINE_double(patience_s, 60, "A call is not sent again after this time.");
--- a/modules/ctl/src/flags.h
+++ b/modules/ctl/src/flags.h
@@ -36,3 +36,12 @@
 DECLARE_string(model_version);
 DECLARE_string(role);
 DECLARE_bool(remove);
+
+DECLARE_string(engines);
+DECLARE_string(tools);
+DECLARE_string(out);
+DECLARE_string(label);
+DECLARE_int64(seed);
+DECLARE_double(duration_s);
+DECLARE_double(drain_s);
+DECLARE_double(patience_s);
--- a/modules/ctl/src/groups.h
+++ b/modules/ctl/src/groups.h
@@ -15,5 +15,7 @@
 TableCommands();
 std::vector<Command>
 LocalCommands();
+std::vector<Command>
+BenchCommands();
 
 }
--- a/modules/ctl/src/local_commands.cpp
+++ b/modules/ctl/src/local_commands.cpp
@@ -4,8 +4,6 @@
 #include "sycamore/settings/parse.h"
 
 #include <fmt/format.h>
-#include <fstream>
-#include <iterator>
 
 namespace sycamore::ctl {
 
@@ -13,12 +11,11 @@
 CheckSettings(const Invocation& aInvocation)
 {
   const std::string& path = aInvocation.mArguments[0];
-  std::ifstream file(path, std::ios::binary);
-  if (!file) {
-    return UsageError(aInvocation.mTerminal, fmt::format("{} cannot be read", path));
+  const auto text = ReadFile(path, aInvocation.mTerminal);
+  if (!text) {
+    return ExitCode::Usage;
   }
-  const std::string text{ std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
-  const auto parsed = settings::Parse(text);
+  const auto parsed = settings::Parse(*text);
   if (const auto* faults = std::get_if<std::vector<base::Error>>(&parsed)) {
     for (const base::Error& fault : *faults) {
       aInvocation.mTerminal.mErr(fmt::format("{}: {} {}\n", path, fault.mField, fault.mMessage));
--- a/modules/ctl/src/request.cpp
+++ b/modules/ctl/src/request.cpp
@@ -4,6 +4,8 @@
 #include "json_text.h"
 
 #include <fmt/format.h>
+#include <fstream>
+#include <iterator>
 #include <utility>
 
 namespace sycamore::ctl {
@@ -101,6 +103,17 @@
   return ExitCode::Usage;
 }
 
+std::optional<std::string>
+ReadFile(const std::string& aPath, const Terminal& aTerminal)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    UsageError(aTerminal, fmt::format("{} cannot be read", aPath));
+    return std::nullopt;
+  }
+  return std::string{ std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+}
+
 std::string
 EncodeSegment(std::string_view aText)
 {
--- a/modules/ctl/src/request.h
+++ b/modules/ctl/src/request.h
@@ -33,6 +33,10 @@
 ExitCode
 UsageError(const Terminal& aTerminal, std::string_view aMessage);
 
+// The content of a file; prints the fault and returns nothing if it cannot be read.
+std::optional<std::string>
+ReadFile(const std::string& aPath, const Terminal& aTerminal);
+
 // Percent-encodes a path segment.
 std::string
 EncodeSegment(std::string_view aText);
