Rewrite old turns, write checkpoints by the ledger's rules, bound the drain

Cause: live programs would lose turns older than the retention period; a drain without the log waited for its release until the drain limit.

--- a/modules/entry/src/api.cpp
+++ b/modules/entry/src/api.cpp
@@ -62,13 +62,12 @@
   if (path.size() == 1 && HandlePage(aIncoming, path)) {
     return;
   }
-  if (path.size() < 2 || path[0] != "v1") {
-    UnknownRoute(aIncoming.mReply);
-  } else if (path[1] == "table") {
+  const std::string resource = path.size() >= 2 && path[0] == "v1" ? path[1] : "";
+  if (resource == "table") {
     HandleTable(aIncoming, path);
-  } else if (path[1] == "programs" && path.size() == 2) {
+  } else if (resource == "programs" && path.size() == 2) {
     HandleCreate(std::move(aIncoming));
-  } else if (path[1] == "programs") {
+  } else if (resource == "programs") {
     HandleProgram(std::move(aIncoming), path);
   } else {
     UnknownRoute(aIncoming.mReply);
@@ -315,9 +314,9 @@
     if (!Requires(aIncoming, "POST")) {
       return;
     }
-    base::Result<CallRequest> request = ParseCallRequest(aIncoming.mBody);
+    const base::Result<CallRequest> request = ParseCallRequest(aIncoming.mBody);
     if (base::IsOk(request)) {
-      mCalls.Submit(aIncoming, aId, base::TakeValue(std::move(request)));
+      mCalls.Submit(aIncoming, aId, base::ValueOf(request));
     } else {
       mAnswers.Fail(aIncoming.mReply, base::ErrorOf(request));
     }
--- a/modules/entry/src/call_intake.cpp
+++ b/modules/entry/src/call_intake.cpp
@@ -1,5 +1,7 @@
 #include "call_intake.h"
 
+#include "sycamore/ledger/retention.h"
+
 #include <algorithm>
 #include <boost/json/object.hpp>
 #include <fmt/format.h>
@@ -31,10 +33,7 @@
   if (found != aState.mPrograms.end()) {
     return &found->second;
   }
-  // Programs are dropped only by checkpoints, so an id from before the last one may be an old one.
-  const bool old =
-    aState.mCheckpointOffset != ledger::kNoOffset && aId.mCreationOffset < aState.mCheckpointOffset;
-  if (old) {
+  if (ledger::MissingProgramError(aState, aId) == ErrorKind::ProgramExpired) {
     return Error{ ErrorKind::ProgramExpired, "the program has ended and its records expired", "" };
   }
   return Error{ ErrorKind::UnknownProgram, "there is no such program", "program" };
@@ -49,7 +48,9 @@
 }
 
 void
-CallIntake::Submit(const Incoming& aIncoming, const base::ProgramId& aId, CallRequest aRequest)
+CallIntake::Submit(const Incoming& aIncoming,
+                   const base::ProgramId& aId,
+                   const CallRequest& aRequest)
 {
   const ledger::PartitionState& state = *mParts.mPartitions.Owned(aId.mPartition);
   const auto program = FindProgram(state, aId);
@@ -297,15 +298,15 @@
   mParts.mHistory.Load(aRequest.mId,
                        aRequest.mProgram.mTurns,
                        aRequest.mProgram.mKeys,
-                       [this, id = aRequest.mId, seq = aRequest.mCall.mSeq](auto aTexts) {
-                         OnHistory(id, seq, std::move(aTexts));
+                       [this, id = aRequest.mId, seq = aRequest.mCall.mSeq](const auto& aTexts) {
+                         OnHistory(id, seq, aTexts);
                        });
 }
 
 void
 CallIntake::OnHistory(const base::ProgramId& aId,
                       uint32_t aSeq,
-                      base::Result<std::vector<History::TextPtr>> aTexts)
+                      const base::Result<std::vector<History::TextPtr>>& aTexts)
 {
   Call* call = mParts.mCalls.Find(aId, aSeq);
   if (call == nullptr || call->mLife.Phase() != CallPhase::Loading) {
@@ -360,7 +361,7 @@
     aId,
     { *turn },
     aProgram.mKeys,
-    [this, reply = aIncoming.mReply, reset, stream = aStream && model](auto aTexts) {
+    [this, reply = aIncoming.mReply, reset, stream = aStream && model](const auto& aTexts) {
       if (base::IsOk(aTexts)) {
         mParts.mDelivery.Replay(reply, *base::ValueOf(aTexts).front(), stream, reset);
       } else {
--- a/modules/entry/src/call_intake.h
+++ b/modules/entry/src/call_intake.h
@@ -21,7 +21,7 @@
              std::function<void(const Incoming&, uint32_t)> aOnDraining);
 
   // POST of a call. The program's partition is owned here.
-  void Submit(const Incoming& aIncoming, const base::ProgramId& aId, CallRequest aRequest);
+  void Submit(const Incoming& aIncoming, const base::ProgramId& aId, const CallRequest& aRequest);
 
   // GET of a call.
   void Get(const Incoming& aIncoming, const base::ProgramId& aId, uint32_t aSeq);
@@ -48,7 +48,7 @@
   void Start(const Request& aRequest);
   void OnHistory(const base::ProgramId& aId,
                  uint32_t aSeq,
-                 base::Result<std::vector<History::TextPtr>> aTexts);
+                 const base::Result<std::vector<History::TextPtr>>& aTexts);
   void Attach(Call& aCall, const Incoming& aIncoming, const CallRequest& aRequest);
   void Replay(const Incoming& aIncoming,
               const base::ProgramId& aId,
--- a/modules/entry/src/call_life.cpp
+++ b/modules/entry/src/call_life.cpp
@@ -69,10 +69,11 @@
   CallPhase mPhase = CallPhase::Loading;
   bool mRefused = false;
 
-  using initial_state = Choosing;
+  using initial_state = Choosing; // NOLINT(readability-identifier-naming): required by Boost.MSM.
 
   // clang-format off
-  struct transition_table : mpl::vector<
+  struct transition_table // NOLINT(readability-identifier-naming): required by Boost.MSM.
+    : mpl::vector<
     Row<Choosing,   BeginLoading, Loading>,
     Row<Choosing,   BeginSealing, Sealing>,
     Row<Loading,    Load,         Ready>,
--- a/modules/entry/src/checkpoints.h
+++ b/modules/entry/src/checkpoints.h
@@ -2,41 +2,64 @@
 
 #include "commits.h"
 #include "context.h"
+#include "history.h"
 #include "partition_map.h"
 #include "program_book.h"
+#include "sycamore/ledger/retention.h"
 
 #include <cstdint>
 #include <map>
+#include <set>
+#include <utility>
 
 namespace sycamore::entry {
 
-// Appends checkpoints of the owned partitions, so that a new owner reads little and retention drops
-// nothing that is needed.
+// Keeps the owned partitions readable: appends checkpoints, and appends the texts of old turns
+// again before the log's retention drops them (docs/design.md, section 3.2).
 class Checkpoints
 {
 public:
   Checkpoints(Context& aContext,
               Commits& aCommits,
+              History& aHistory,
               PartitionMap& aPartitions,
               ProgramBook& aPrograms);
 
   void OnAcquired(uint32_t aPartition);
   void OnLost(uint32_t aPartition);
+
+  // A batch of an owned partition was folded.
+  void OnBatch(const ledger::BatchRead& aBatch);
+
   void OnTick();
 
 private:
+  using TurnKey = std::pair<base::ProgramId, uint32_t>;
+
   struct Status
   {
-    base::TimePoint mLast;
-    uint64_t mLastOffset = 0;
+    explicit Status(base::Millis aRetention)
+      : mAges(aRetention)
+    {
+    }
+
+    ledger::OffsetAges mAges;
+    ledger::SinceCheckpoint mSince;
+    base::TimePoint mMade; // When the last checkpoint was made.
     bool mAppended = false;
+    std::set<TurnKey> mRewriting;
   };
 
-  bool IsDue(const Status& aStatus, const ledger::PartitionState& aState) const;
+  ledger::RetentionSettings Settings() const;
+  void Check(uint32_t aPartition, Status& aStatus, ledger::PartitionState& aState);
   void Append(uint32_t aPartition, Status& aStatus, ledger::PartitionState& aState);
+  void Rewrite(uint32_t aPartition, Status& aStatus, const ledger::PartitionState& aState);
+  void OnText(const ledger::TurnToRewrite& aTurn, const TurnText& aText);
+  void Forget(const TurnKey& aKey);
 
   Context& mContext;
   Commits& mCommits;
+  History& mHistory;
   PartitionMap& mPartitions;
   ProgramBook& mPrograms;
   std::map<uint32_t, Status> mStatus;
--- a/modules/entry/src/core_impl.cpp
+++ b/modules/entry/src/core_impl.cpp
@@ -15,6 +15,10 @@
 // Buckets of table rows that were not used for this time are dropped; they would be full anyway.
 static constexpr base::Millis kRowIdle{ 60000 };
 
+// Without the log a release cannot be recorded; the stop does not wait for it longer than this. The
+// next owner then claims after the owner timeout.
+static constexpr base::Millis kReleaseWait{ 5000 };
+
 EntryCore::Impl::Impl(Context aContext)
   : mContext(std::move(aContext))
   , mAnswers(mContext)
@@ -53,7 +57,7 @@
               mForwarder.Forward(aIncoming, aPartition);
             })
   , mForwarder(mContext, mAnswers, mPeers, mPartitions)
-  , mCheckpoints(mContext, mCommits, mPartitions, mPrograms)
+  , mCheckpoints(mContext, mCommits, mHistory, mPartitions, mPrograms)
   , mMembership(mContext, mPeers, mPartitions, mTable)
   , mApi(mContext,
          mAnswers,
@@ -82,7 +86,11 @@
 bool
 EntryCore::Impl::Drained() const
 {
-  return mContext.mDraining && mPartitions.OwnedCount() == 0 && mAnswers.OpenCount() == 0;
+  if (!mContext.mDraining || mAnswers.OpenCount() > 0) {
+    return false;
+  }
+  const bool waited = mContext.mNow - mDrainStarted >= kReleaseWait;
+  return mPartitions.OwnedCount() == 0 || (waited && mPartitions.AllOwnedTroubled());
 }
 
 std::string
@@ -184,6 +192,7 @@
     mPartitions.OnOpened(*opened);
   } else if (const auto* batch = std::get_if<ledger::BatchRead>(&aEvent)) {
     mPartitions.OnBatch(*batch);
+    mCheckpoints.OnBatch(*batch);
   } else if (const auto* trouble = std::get_if<ledger::LogTrouble>(&aEvent)) {
     mPartitions.OnTrouble(*trouble);
   } else {
@@ -225,6 +234,7 @@
   if (!mContext.mDraining) {
     base::Log(base::LogEvent::DrainStarted, "{} calls in progress", mCalls.Size());
     mContext.mDraining = true;
+    mDrainStarted = mContext.mNow;
     ReleaseIdle();
     mMembership.OnTick();
   }
--- a/modules/entry/src/core_impl.h
+++ b/modules/entry/src/core_impl.h
@@ -87,6 +87,7 @@
   Checkpoints mCheckpoints;
   Membership mMembership;
   Metrics mMetrics;
+  base::TimePoint mDrainStarted;
   Api mApi;
 };
 
--- a/modules/entry/src/history.cpp
+++ b/modules/entry/src/history.cpp
@@ -17,12 +17,14 @@
 History::Load(const base::ProgramId& aProgram,
               const std::vector<ledger::TurnIndex>& aTurns,
               const std::map<std::string, ledger::KeyState>& aKeys,
-              Loaded aDone)
+              Loaded aDone,
+              HistoryUse aUse)
 {
   const uint64_t id = mNextId++;
   Loading& load = mLoads[id];
   load.mProgram = aProgram;
   load.mDone = std::move(aDone);
+  load.mUse = aUse;
   load.mTexts.resize(aTurns.size());
   for (size_t i = 0; i < aTurns.size(); ++i) {
     load.mTexts[i] = Find({ aProgram, aTurns[i].mSeq });
@@ -113,7 +115,9 @@
   load.mTexts[aIndex] = shared;
   const bool last = load.mMissing.size() == 1;
   load.mMissing.erase(aIndex);
-  Put(load.mProgram, std::move(shared));
+  if (load.mUse == HistoryUse::Caching) {
+    Put(load.mProgram, std::move(shared));
+  }
   if (last) {
     Finish(aLoad, std::nullopt);
   } else if (load.mNext != load.mMissing.end()) {
--- a/modules/entry/src/history.h
+++ b/modules/entry/src/history.h
@@ -17,12 +17,18 @@
 
 namespace sycamore::entry {
 
+enum class HistoryUse : uint8_t
+{
+  Caching, // Texts read from the log are kept.
+  Passing, // Texts read from the log are needed once.
+};
+
 // The texts of committed calls: a byte-bounded cache, with misses read from the log.
 class History
 {
 public:
   using TextPtr = std::shared_ptr<const TurnText>;
-  using Loaded = std::function<void(base::Result<std::vector<TextPtr>>)>;
+  using Loaded = std::function<void(const base::Result<std::vector<TextPtr>>&)>;
 
   explicit History(Context& aContext);
 
@@ -31,7 +37,8 @@
   void Load(const base::ProgramId& aProgram,
             const std::vector<ledger::TurnIndex>& aTurns,
             const std::map<std::string, ledger::KeyState>& aKeys,
-            Loaded aDone);
+            Loaded aDone,
+            HistoryUse aUse = HistoryUse::Caching);
 
   // Caches the text of a call that was committed here.
   void Put(const base::ProgramId& aProgram, TextPtr aText);
@@ -70,6 +77,7 @@
     std::map<size_t, Wanted> mMissing; // By index in mTexts.
     std::map<size_t, Wanted>::iterator mNext;
     size_t mReading = 0;
+    HistoryUse mUse = HistoryUse::Caching;
     Loaded mDone;
   };
 
--- a/modules/entry/src/partition_map.cpp
+++ b/modules/entry/src/partition_map.cpp
@@ -60,6 +60,18 @@
     }));
 }
 
+bool
+PartitionMap::AllOwnedTroubled() const
+{
+  for (uint32_t i = 0; i < Count(); ++i) {
+    const Phase phase = mPartitions[i].mPhase;
+    if (phase != Phase::Idle && phase != Phase::Opening && !IsTroubled(i)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 bool
 PartitionMap::AllOwned()
 {
--- a/modules/entry/src/partition_map.h
+++ b/modules/entry/src/partition_map.h
@@ -68,6 +68,9 @@
   uint32_t Count() const { return static_cast<uint32_t>(mPartitions.size()); }
   uint32_t OwnedCount() const;
 
+  // Whether the log fails for every partition that is owned here.
+  bool AllOwnedTroubled() const;
+
   // Whether every partition has a known owner.
   bool AllOwned();
 
--- a/modules/entry/src/program_service.cpp
+++ b/modules/entry/src/program_service.cpp
@@ -220,24 +220,24 @@
     return;
   }
   const ledger::ProgramState& program = *base::ValueOf(found);
-  mParts.mHistory.Load(
-    aId,
-    program.mTurns,
-    program.mKeys,
-    [this, aId, reply = aIncoming.mReply](base::Result<std::vector<History::TextPtr>> aTexts) {
-      if (!base::IsOk(aTexts)) {
-        mAnswers.Fail(reply, base::ErrorOf(aTexts), base::RunState::NotACall);
-        return;
-      }
-      json::array turns;
-      for (const History::TextPtr& text : base::ValueOf(aTexts)) {
-        turns.push_back(TurnJson(*text));
-      }
-      mAnswers.Json(
-        reply,
-        200,
-        json::object{ { "program", base::ToString(aId) }, { "turns", std::move(turns) } });
-    });
+  mParts.mHistory.Load(aId,
+                       program.mTurns,
+                       program.mKeys,
+                       [this, aId, reply = aIncoming.mReply](
+                         const base::Result<std::vector<History::TextPtr>>& aTexts) {
+                         if (!base::IsOk(aTexts)) {
+                           mAnswers.Fail(reply, base::ErrorOf(aTexts), base::RunState::NotACall);
+                           return;
+                         }
+                         json::array turns;
+                         for (const History::TextPtr& text : base::ValueOf(aTexts)) {
+                           turns.push_back(TurnJson(*text));
+                         }
+                         mAnswers.Json(reply,
+                                       200,
+                                       json::object{ { "program", base::ToString(aId) },
+                                                     { "turns", std::move(turns) } });
+                       });
 }
 
 void
--- a/modules/entry/tests/entries_test.cpp
+++ b/modules/entry/tests/entries_test.cpp
@@ -126,6 +126,18 @@
   BOOST_TEST(mLog.Fold(0).mOwner.empty());
 }
 
+// A stop must not wait for a log that is gone.
+BOOST_AUTO_TEST_CASE(DrainWithoutLogFinishesAfterSeconds)
+{
+  mPair.Disconnect();
+  mLog.mDown = true;
+  mEntry.Do(DrainRequested{});
+  mEntry.Pass(base::Millis{ 4000 });
+  BOOST_TEST(!mEntry.mCore->Drained());
+  mEntry.Pass(base::Millis{ 1500 });
+  BOOST_TEST(mEntry.mCore->Drained());
+}
+
 BOOST_AUTO_TEST_CASE(InstanceListDialsSidecarsAndLaterEntriesOnly)
 {
   mEntry.Do(InstancesRead{ std::vector<world::Instance>{
@@ -152,6 +164,30 @@
   BOOST_TEST(mLog.Fold(partition).mCheckpointOffset == mEntry.mCheckpoints[partition]);
 }
 
+// Texts older than half of the retention period must be appended again, or a live program loses its
+// history.
+BOOST_AUTO_TEST_CASE(OldTurnsOfLiveProgramAreRewritten)
+{
+  mEntry.mSettings.mRetention = base::Millis{ 40000 };
+  const std::string program = mEntry.Create();
+  RunModel(program, 1, "first");
+  mEntry.Request("POST", Calls(program), KeyedBody(2, "k"));
+  const auto dispatch = mEntry.Take<wire::DispatchT>(mTool);
+  mEntry.AnswerTool(mTool, *dispatch, "{}");
+  const uint32_t partition = program[0] == '0' ? 0 : 1;
+  const uint64_t before = mLog.Fold(partition).mNextOffset;
+  mEntry.Pass(base::Millis{ 25000 });
+  const ledger::PartitionState state = mLog.Fold(partition);
+  const ledger::ProgramState& folded = state.mPrograms.begin()->second;
+  BOOST_REQUIRE(folded.mTurns.size() == 2);
+  BOOST_TEST(folded.mTurns[0].mOffset >= before);
+  BOOST_TEST(folded.mTurns[1].mOffset >= before);
+  const auto turns =
+    mEntry.Ask("GET", "/v1/programs/" + program + "/history").Json().at("turns").as_array();
+  BOOST_REQUIRE(turns.size() == 2);
+  BOOST_TEST(turns[1].at("request").at("key").as_string() == "k");
+}
+
 // The cache is bounded; what it dropped is read from the log.
 BOOST_AUTO_TEST_CASE(HistoryBeyondCacheIsReadFromLog)
 {
