--- a/modules/sidecar/src/slot_worker.cpp
+++ b/modules/sidecar/src/slot_worker.cpp
@@ -1,10 +1,7 @@
 #include "slot_worker.h"
 
-#include <boost/json.hpp>
-
 namespace sycamore::sidecar {
 
-namespace json = boost::json;
 using base::Millis;
 using base::Seconds;
 
@@ -17,7 +14,7 @@
   , mRequests(aSettings.mTargets.size() + 1)
 {
   if (aSettings.mWeightStore) {
-    mClient = std::make_unique<http::Client>(*aSettings.mWeightStore, kRequestLimit);
+    mStore = platform::MakeHttpWeightStoreClient(*aSettings.mWeightStore, kRequestLimit);
   }
   mThread = std::thread([this] { Run(); });
 }
@@ -59,19 +56,13 @@
 SlotWorker::Ask(const SlotRequest& aRequest)
 {
   SlotAnswer answer{ aRequest.mTicket, false, Millis(0) };
-  if (!mClient) {
+  if (!mStore) {
     return answer;
   }
-  http::ClientRequest request;
-  request.mMethod = "POST";
-  request.mTarget = "/slots";
-  request.mBody = json::serialize(json::object{ { "model", aRequest.mModel },
-                                                { "version", aRequest.mVersion },
-                                                { "instance", mSettings.mInstance } });
-  const auto response = mClient->Perform(request);
-  if (IsOk(response)) {
-    answer.mGranted = ValueOf(response).mStatus == 200;
-    answer.mRetryAfter = ValueOf(response).mRetryAfter;
+  const auto acquired = mStore->Acquire(aRequest.mModel, aRequest.mVersion, mSettings.mInstance);
+  if (IsOk(acquired)) {
+    answer.mGranted = ValueOf(acquired).mGranted;
+    answer.mRetryAfter = ValueOf(acquired).mRetryAfter;
   }
   return answer;
 }
--- a/modules/sidecar/src/slot_worker.h
+++ b/modules/sidecar/src/slot_worker.h
@@ -1,12 +1,13 @@
 #pragma once
 
 #include "sycamore/base/ring.h"
-#include "sycamore/http/client.h"
+#include "sycamore/platform/weight_store_client.h"
 #include "sycamore/settings/settings.h"
 #include "sycamore/sidecar/sidecar_output.h"
 
 #include "event_queue.h"
 
+#include <memory>
 #include <thread>
 
 namespace sycamore::sidecar {
@@ -33,7 +34,7 @@
   const settings::Settings& mSettings;
   EventQueue& mQueue;
   base::Ring<SlotRequest> mRequests;
-  std::unique_ptr<http::Client> mClient; // Null without a weight store.
+  std::unique_ptr<platform::WeightStoreClient> mStore; // Null without a weight store.
   std::thread mThread;
 };
 
--- a/modules/sidecar/tests/sidecar_threads.cpp
+++ b/modules/sidecar/tests/sidecar_threads.cpp
@@ -22,7 +22,7 @@
 {
 public:
   FakeTarget()
-    : mServer({}, { [this](http::Request aRequest) { return OnRequest(aRequest); }, {} })
+    : mServer({}, { [this](const http::Request& aRequest) { return OnRequest(aRequest); }, {} })
   {
     mEndpoint = base::ValueOf(mServer.Listen({ "127.0.0.1", 0 }));
   }
@@ -82,7 +82,9 @@
 {
 public:
   explicit FakeEntry(const http::Endpoint& aSidecar)
-    : mHub({}, Hello(), [this](transport::PeerEvent aEvent) { return mEvents.TryPush(aEvent); })
+    : mHub({}, Hello(), [this](transport::PeerEvent aEvent) {
+      return mEvents.TryPush(std::move(aEvent));
+    })
   {
     mHub.Dial(aSidecar);
     auto event = Next(
@@ -98,7 +100,8 @@
   template<typename T>
   void Send(T aBody)
   {
-    BOOST_REQUIRE(mHub.Send(mLink, wire::MakeFrame(std::move(aBody))));
+    const bool sent = mHub.Send(mLink, wire::MakeFrame(std::move(aBody)));
+    BOOST_REQUIRE(sent);
   }
 
   // Waits for the next frame of type T, dropping others.
