--- a/modules/entry/src/table_request.cpp
+++ b/modules/entry/src/table_request.cpp
@@ -10,6 +10,13 @@
 
 static constexpr uint64_t kMaxVersion = static_cast<uint64_t>(std::numeric_limits<int64_t>::max());
 
+// A faulty field of an edit has the kind of faulty edits.
+static base::Error
+EditError(const base::Error& aFailure)
+{
+  return { base::ErrorKind::InvalidEdit, aFailure.mMessage, aFailure.mField };
+}
+
 base::Result<table::Edit>
 ParseRowEdit(const table::RowKey& aKey, std::string_view aBody)
 {
@@ -31,7 +38,7 @@
     static_cast<uint32_t>(fields.Whole("concurrency", 0, std::numeric_limits<uint32_t>::max()));
   edit.mContract = contract;
   if (fields.Failure()) {
-    return *fields.Failure();
+    return EditError(*fields.Failure());
   }
   return edit;
 }
@@ -55,7 +62,7 @@
   order.mRole = fields.OptionalName("role");
   edit.mOrder = std::move(order);
   if (fields.Failure()) {
-    return *fields.Failure();
+    return EditError(*fields.Failure());
   }
   return edit;
 }
@@ -71,7 +78,7 @@
   fields.RefuseOthers({ "base_version" });
   const uint64_t version = fields.Whole("base_version", 0, kMaxVersion);
   if (fields.Failure()) {
-    return *fields.Failure();
+    return EditError(*fields.Failure());
   }
   return version;
 }
