--- a/modules/testbed/src/standin_host.cpp
+++ b/modules/testbed/src/standin_host.cpp
@@ -74,6 +74,8 @@
   for (const auto& server : mServers) {
     server->Stop();
   }
+  // A stopped server keeps its listening socket; clients would connect and wait for an answer.
+  mServers.clear();
 }
 
 void
--- a/modules/testbed/tests/engine_standin_test.cpp
+++ b/modules/testbed/tests/engine_standin_test.cpp
@@ -1,6 +1,7 @@
 #include "sycamore/testbed/engine_standin.h"
 
 #include "port_fixture.h"
+#include "stream_text.h"
 
 #include "sycamore/testbed/answer_text.h"
 #include "sycamore/testbed/json.h"
@@ -137,25 +138,16 @@
 {
   const uint64_t request = Start("p", "hello", { { "stream", true }, { "max_tokens", 20 } });
   RunUntilAnswered(request);
-  std::string text;
-  uint64_t prompt = 0;
-  std::string body = Body(request);
+  const std::string body = Body(request);
   BOOST_TEST(Parts(request).at(0).mContentType == "text/event-stream");
   BOOST_TEST(body.ends_with("data: [DONE]\n\n"));
-  for (size_t end = body.find("\n\n"); end != std::string::npos; end = body.find("\n\n")) {
-    const auto chunk = ParseObject(std::string_view(body).substr(6, end - 6));
-    body.erase(0, end + 2);
-    if (!base::IsOk(chunk)) {
-      continue;
-    }
-    for (const auto& choice : base::ValueOf(chunk).at("choices").as_array()) {
-      text += TextField(choice.as_object().at("delta").as_object(), "content");
-    }
-    if (base::ValueOf(chunk).contains("usage")) {
-      prompt = UintField(base::ValueOf(chunk).at("usage").as_object(), "prompt_tokens");
+  uint64_t prompt = 0;
+  for (const json::object& chunk : StreamChunks(body)) {
+    if (chunk.contains("usage")) {
+      prompt = UintField(chunk.at("usage").as_object(), "prompt_tokens");
     }
   }
-  BOOST_TEST(text == AnswerText("p", 1, HistoryDigest(0, "user", "hello"), 20));
+  BOOST_TEST(StreamText(body) == AnswerText("p", 1, HistoryDigest(0, "user", "hello"), 20));
   BOOST_TEST(prompt == 2U);
 }
 
