--- a/modules/testbed/include/sycamore/testbed/json.h
+++ b/modules/testbed/include/sycamore/testbed/json.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sycamore/base/clock.h"
 #include "sycamore/base/result.h"
 
 #include <boost/json.hpp>
@@ -26,6 +27,12 @@
 int64_t
 IntField(const boost::json::object& aObject, std::string_view aKey, int64_t aDefault = 0);
 
+// The number at aKey in milliseconds, or aDefault if the key is absent or no number.
+base::Millis
+MillisField(const boost::json::object& aObject,
+            std::string_view aKey,
+            base::Millis aDefault = base::Millis(0));
+
 double
 DoubleField(const boost::json::object& aObject, std::string_view aKey, double aDefault = 0);
 
--- a/modules/testbed/include/sycamore/testbed/log_standin.h
+++ b/modules/testbed/include/sycamore/testbed/log_standin.h
@@ -25,6 +25,7 @@
 private:
   void Append(const http::Request& aRequest, const std::string& aStream, base::TimePoint aNow);
   void Read(const http::Request& aRequest, const std::string& aStream, base::TimePoint aNow);
+  void Truncate(const boost::json::object& aTruncate);
 
   LogSettings mSettings;
   RateLimit mLimit;
--- a/modules/testbed/include/sycamore/testbed/standin_host.h
+++ b/modules/testbed/include/sycamore/testbed/standin_host.h
@@ -52,7 +52,7 @@
   using Event = std::variant<Received, Closed>;
 
   void Run();
-  void Handle(Event aEvent);
+  void Handle(const Event& aEvent);
   void RunTimers();
   base::Micros UntilNextTimer() const;
 
--- a/modules/testbed/include/sycamore/testbed/standin_port.h
+++ b/modules/testbed/include/sycamore/testbed/standin_port.h
@@ -23,7 +23,7 @@
               base::Millis aLatency,
               std::function<void(http::ResponsePart)> aSend);
 
-  void OnRequest(http::Request aRequest, base::TimePoint aNow);
+  void OnRequest(const http::Request& aRequest, base::TimePoint aNow);
   void OnClosed(uint64_t aRequest, base::TimePoint aNow);
   std::optional<base::TimePoint> NextTimer() const;
   void OnTimer(base::TimePoint aNow);
--- a/modules/testbed/src/engine_standin.cpp
+++ b/modules/testbed/src/engine_standin.cpp
@@ -1,5 +1,6 @@
 #include "sycamore/testbed/engine_standin.h"
 
+#include "sycamore/testbed/control_key.h"
 #include "sycamore/testbed/json.h"
 #include "sycamore/testbed/query.h"
 #include "sycamore/testbed/reply.h"
@@ -180,37 +181,46 @@
   Send(JsonReply(aRequest.mId, kOk, mOrders.State()));
 }
 
+// aSettings with the values of a control request.
+static EngineSettings
+Changed(EngineSettings aSettings, const json::object& aControl)
+{
+  EngineSettings& settings = aSettings;
+  settings.mDecodeTokensPerSecond =
+    DoubleField(aControl, "decode_tokens_per_second", settings.mDecodeTokensPerSecond);
+  settings.mPrefillTokensPerSecond =
+    DoubleField(aControl, "prefill_tokens_per_second", settings.mPrefillTokensPerSecond);
+  settings.mAnswerTokens = UintField(aControl, "answer_tokens", settings.mAnswerTokens);
+  settings.mMaxBatch = static_cast<uint32_t>(UintField(aControl, "max_batch", settings.mMaxBatch));
+  settings.mChecksFence = BoolField(aControl, "checks_fence", settings.mChecksFence);
+  settings.mLoadInterval = MillisField(aControl, "load_interval_ms", settings.mLoadInterval);
+  settings.mEventDelay = MillisField(aControl, "cache_event_delay_ms", settings.mEventDelay);
+  settings.mEventGap = DoubleField(aControl, "cache_event_gap", settings.mEventGap);
+  return settings;
+}
+
 base::Result<base::Unit>
 EngineStandin::OnControl(const json::object& aControl, base::TimePoint /*aNow*/)
 {
-  EngineSettings settings = mSettings;
-  bool frozen = mLoadFrozen;
-  for (const auto& field : aControl) {
-    const std::string_view key = field.key();
-    if (key == "decode_tokens_per_second") {
-      settings.mDecodeTokensPerSecond = DoubleField(aControl, key, 1);
-    } else if (key == "prefill_tokens_per_second") {
-      settings.mPrefillTokensPerSecond = DoubleField(aControl, key, 1);
-    } else if (key == "answer_tokens") {
-      settings.mAnswerTokens = UintField(aControl, key);
-    } else if (key == "max_batch") {
-      settings.mMaxBatch = static_cast<uint32_t>(UintField(aControl, key, 1));
-    } else if (key == "checks_fence") {
-      settings.mChecksFence = BoolField(aControl, key);
-    } else if (key == "load_interval_ms") {
-      settings.mLoadInterval = base::Millis(IntField(aControl, key));
-    } else if (key == "cache_event_gap") {
-      settings.mEventGap = DoubleField(aControl, key);
-    } else if (key == "cache_event_delay_ms") {
-      settings.mEventDelay = base::Millis(IntField(aControl, key));
-    } else if (key == "freeze_load") {
-      frozen = BoolField(aControl, key);
-    } else {
-      return base::Error{ base::ErrorKind::InvalidField, "unknown control key", std::string(key) };
-    }
+  auto checked = CheckControl(aControl,
+                              { { "decode_tokens_per_second", ValueKind::Number },
+                                { "prefill_tokens_per_second", ValueKind::Number },
+                                { "answer_tokens", ValueKind::Number },
+                                { "max_batch", ValueKind::Number },
+                                { "checks_fence", ValueKind::Boolean },
+                                { "load_interval_ms", ValueKind::Number },
+                                { "cache_event_delay_ms", ValueKind::Number },
+                                { "cache_event_gap", ValueKind::Number },
+                                { "freeze_load", ValueKind::Boolean } });
+  if (!base::IsOk(checked)) {
+    return checked;
+  }
+  const EngineSettings settings = Changed(mSettings, aControl);
+  if (settings.mDecodeTokensPerSecond <= 0 || settings.mPrefillTokensPerSecond <= 0) {
+    return base::Error{ base::ErrorKind::InvalidField, "must be positive", "tokens_per_second" };
   }
   mSettings = settings;
-  mLoadFrozen = frozen;
+  mLoadFrozen = BoolField(aControl, "freeze_load", mLoadFrozen);
   mModel.SetSettings(settings);
   mOrders.SetChecksFence(settings.mChecksFence);
   mEvents.SetGap(settings.mEventGap);
--- a/modules/testbed/src/fault_rule.cpp
+++ b/modules/testbed/src/fault_rule.cpp
@@ -1,9 +1,8 @@
 #include "sycamore/testbed/fault_rule.h"
 
+#include "sycamore/testbed/control_key.h"
 #include "sycamore/testbed/json.h"
 
-#include <algorithm>
-#include <array>
 #include <fmt/format.h>
 
 namespace sycamore::testbed {
@@ -13,23 +12,12 @@
 static constexpr int kUnavailable = 503;
 static constexpr int kInternalError = 500;
 
-static constexpr std::array<std::string_view, 10> kKeys{ "kind",       "method",   "path",
-                                                         "contains",   "skip",     "count",
-                                                         "for_ms",     "delay_ms", "status",
-                                                         "after_parts" };
-
 static base::Error
 FieldError(std::string aMessage, std::string_view aField)
 {
   return base::Error{ base::ErrorKind::InvalidField, std::move(aMessage), std::string(aField) };
 }
 
-static base::Millis
-MillisField(const json::object& aObject, std::string_view aKey)
-{
-  return base::Millis(static_cast<int64_t>(UintField(aObject, aKey)));
-}
-
 static int
 DefaultStatus(FaultKind aKind)
 {
@@ -43,10 +31,19 @@
   if (object == nullptr) {
     return FieldError("a fault is a JSON object", "faults");
   }
-  for (const auto& field : *object) {
-    if (std::find(kKeys.begin(), kKeys.end(), std::string_view(field.key())) == kKeys.end()) {
-      return FieldError("a fault has no such key", field.key());
-    }
+  const auto checked = CheckControl(*object,
+                                    { { "kind", ValueKind::Text },
+                                      { "method", ValueKind::Text },
+                                      { "path", ValueKind::Text },
+                                      { "contains", ValueKind::Text },
+                                      { "skip", ValueKind::Number },
+                                      { "count", ValueKind::Number },
+                                      { "for_ms", ValueKind::Number },
+                                      { "delay_ms", ValueKind::Number },
+                                      { "status", ValueKind::Number },
+                                      { "after_parts", ValueKind::Number } });
+  if (!base::IsOk(checked)) {
+    return base::ErrorOf(checked);
   }
   const auto kind = ParseFaultKind(TextField(*object, "kind"));
   if (!kind) {
--- a/modules/testbed/src/instances_standin.cpp
+++ b/modules/testbed/src/instances_standin.cpp
@@ -1,5 +1,6 @@
 #include "sycamore/testbed/instances_standin.h"
 
+#include "sycamore/testbed/control_key.h"
 #include "sycamore/testbed/json.h"
 #include "sycamore/testbed/reply.h"
 
@@ -74,25 +75,25 @@
 base::Result<base::Unit>
 InstancesStandin::OnControl(const json::object& aControl, base::TimePoint aNow)
 {
-  json::array latest = mLatest;
-  base::Millis lag = mLag;
-  for (const auto& field : aControl) {
-    const std::string_view key = field.key();
-    if (key == "instances" && field.value().is_array()) {
-      latest = field.value().get_array();
-    } else if (key == "set" && field.value().is_object()) {
-      SetRow(latest, field.value().get_object());
-    } else if (key == "remove" && field.value().is_string()) {
-      RemoveRow(latest, TextField(aControl, key));
-    } else if (key == "lag_ms") {
-      lag = base::Millis(IntField(aControl, key));
-    } else {
-      return base::Error{ base::ErrorKind::InvalidField, "unknown control key", std::string(key) };
-    }
+  auto checked = CheckControl(aControl,
+                              { { "instances", ValueKind::Array },
+                                { "set", ValueKind::Object },
+                                { "remove", ValueKind::Text },
+                                { "lag_ms", ValueKind::Number } });
+  if (!base::IsOk(checked)) {
+    return checked;
+  }
+  if (const json::value* rows = aControl.if_contains("instances")) {
+    mLatest = rows->get_array();
+  }
+  if (const json::value* row = aControl.if_contains("set")) {
+    SetRow(mLatest, row->get_object());
+  }
+  if (aControl.contains("remove")) {
+    RemoveRow(mLatest, TextField(aControl, "remove"));
   }
-  mLag = lag;
-  mLatest = latest;
-  mPending.emplace_back(aNow + mLag, std::move(latest));
+  mLag = MillisField(aControl, "lag_ms", mLag);
+  mPending.emplace_back(aNow + mLag, mLatest);
   return base::Unit{};
 }
 
--- a/modules/testbed/src/json.cpp
+++ b/modules/testbed/src/json.cpp
@@ -52,6 +52,12 @@
   return NumberField<int64_t>(aObject, aKey, aDefault);
 }
 
+base::Millis
+MillisField(const json::object& aObject, std::string_view aKey, base::Millis aDefault)
+{
+  return base::Millis(IntField(aObject, aKey, aDefault.count()));
+}
+
 double
 DoubleField(const json::object& aObject, std::string_view aKey, double aDefault)
 {
--- a/modules/testbed/src/log_standin.cpp
+++ b/modules/testbed/src/log_standin.cpp
@@ -1,6 +1,7 @@
 #include "sycamore/testbed/log_standin.h"
 
 #include "sycamore/platform/base64.h"
+#include "sycamore/testbed/control_key.h"
 #include "sycamore/testbed/json.h"
 #include "sycamore/testbed/query.h"
 #include "sycamore/testbed/reply.h"
@@ -105,38 +106,40 @@
 base::Result<base::Unit>
 LogStandin::OnControl(const json::object& aControl, base::TimePoint aNow)
 {
-  LogSettings settings = mSettings;
-  const json::object* truncate = nullptr;
-  for (const auto& field : aControl) {
-    const std::string_view key = field.key();
-    if (key == "appends_per_second") {
-      settings.mAppendsPerSecond = DoubleField(aControl, key);
-    } else if (key == "retain_records") {
-      settings.mRetainRecords = UintField(aControl, key);
-    } else if (key == "retain_bytes") {
-      settings.mRetainBytes = UintField(aControl, key);
-    } else if (key == "retain_age_ms") {
-      settings.mRetainAge = base::Millis(IntField(aControl, key));
-    } else if (key == "truncate" && field.value().is_object()) {
-      truncate = &field.value().get_object();
-    } else {
-      return base::Error{ base::ErrorKind::InvalidField, "unknown control key", std::string(key) };
-    }
+  auto checked = CheckControl(aControl,
+                              { { "appends_per_second", ValueKind::Number },
+                                { "retain_records", ValueKind::Number },
+                                { "retain_bytes", ValueKind::Number },
+                                { "retain_age_ms", ValueKind::Number },
+                                { "truncate", ValueKind::Object } });
+  if (!base::IsOk(checked)) {
+    return checked;
   }
-  mSettings = settings;
+  LogSettings& settings = mSettings;
+  settings.mAppendsPerSecond =
+    DoubleField(aControl, "appends_per_second", settings.mAppendsPerSecond);
+  settings.mRetainRecords = UintField(aControl, "retain_records", settings.mRetainRecords);
+  settings.mRetainBytes = UintField(aControl, "retain_bytes", settings.mRetainBytes);
+  settings.mRetainAge = MillisField(aControl, "retain_age_ms", settings.mRetainAge);
   mLimit.SetRate(settings.mAppendsPerSecond, settings.mAppendsPerSecond * kBurstSeconds);
   for (auto& [name, stream] : mStreams) {
-    stream.Retain(mSettings, aNow);
+    stream.Retain(settings, aNow);
   }
-  if (truncate != nullptr) {
-    const auto found = mStreams.find(TextField(*truncate, "stream"));
-    if (found != mStreams.end()) {
-      found->second.Truncate(UintField(*truncate, "before"));
-    }
+  if (const json::value* truncate = aControl.if_contains("truncate")) {
+    Truncate(truncate->get_object());
   }
   return base::Unit{};
 }
 
+void
+LogStandin::Truncate(const json::object& aTruncate)
+{
+  const auto found = mStreams.find(TextField(aTruncate, "stream"));
+  if (found != mStreams.end()) {
+    found->second.Truncate(UintField(aTruncate, "before"));
+  }
+}
+
 json::object
 LogStandin::Stats(base::TimePoint /*aNow*/) const
 {
--- a/modules/testbed/src/relay_standin.cpp
+++ b/modules/testbed/src/relay_standin.cpp
@@ -1,5 +1,6 @@
 #include "sycamore/testbed/relay_standin.h"
 
+#include "sycamore/testbed/control_key.h"
 #include "sycamore/testbed/json.h"
 #include "sycamore/testbed/reply.h"
 
@@ -43,9 +44,7 @@
 static base::Error
 FieldError(std::string_view aField)
 {
-  return base::Error{ base::ErrorKind::InvalidField,
-                      "unknown control key or value",
-                      std::string(aField) };
+  return base::Error{ base::ErrorKind::InvalidField, "no such value", std::string(aField) };
 }
 
 std::vector<size_t>
@@ -63,13 +62,16 @@
 base::Result<base::Unit>
 RelayStandin::OnControl(const json::object& aControl, base::TimePoint /*aNow*/)
 {
-  for (const auto& field : aControl) {
-    const std::string_view key = field.key();
-    const bool known =
-      key == "link" || key == "mode" || key == "drop_existing" || key == "delay_ms";
-    if (!known || (key == "mode" && !ParseMode(TextField(aControl, key)))) {
-      return FieldError(key);
-    }
+  auto checked = CheckControl(aControl,
+                              { { "link", ValueKind::Text },
+                                { "mode", ValueKind::Text },
+                                { "drop_existing", ValueKind::Boolean },
+                                { "delay_ms", ValueKind::Number } });
+  if (!base::IsOk(checked)) {
+    return checked;
+  }
+  if (aControl.contains("mode") && !ParseMode(TextField(aControl, "mode"))) {
+    return FieldError("mode");
   }
   const std::vector<size_t> links = LinksNamed(TextField(aControl, "link"));
   if (links.empty()) {
@@ -91,7 +93,7 @@
     mRelay->DropExisting(aLink);
   }
   if (aControl.contains("delay_ms")) {
-    mRelay->SetDelay(aLink, base::Millis(IntField(aControl, "delay_ms")));
+    mRelay->SetDelay(aLink, MillisField(aControl, "delay_ms"));
   }
   const auto mode = ParseMode(TextField(aControl, "mode"));
   return mode ? mRelay->SetMode(aLink, *mode) : base::Result<base::Unit>(base::Unit{});
--- a/modules/testbed/src/standin_host.cpp
+++ b/modules/testbed/src/standin_host.cpp
@@ -84,18 +84,18 @@
   while (!mStopping.load()) {
     auto event = mEvents.PopFor(UntilNextTimer());
     if (event) {
-      Handle(std::move(*event));
+      Handle(*event);
     }
     RunTimers();
   }
 }
 
 void
-StandinHost::Handle(Event aEvent)
+StandinHost::Handle(const Event& aEvent)
 {
   const auto now = base::Clock::now();
-  if (auto* received = std::get_if<Received>(&aEvent)) {
-    mPorts.at(received->mPort)->OnRequest(std::move(received->mRequest), now);
+  if (const auto* received = std::get_if<Received>(&aEvent)) {
+    mPorts.at(received->mPort)->OnRequest(received->mRequest, now);
     return;
   }
   const auto& closed = std::get<Closed>(aEvent);
--- a/modules/testbed/src/standin_port.cpp
+++ b/modules/testbed/src/standin_port.cpp
@@ -26,7 +26,7 @@
 }
 
 void
-StandinPort::OnRequest(http::Request aRequest, base::TimePoint aNow)
+StandinPort::OnRequest(const http::Request& aRequest, base::TimePoint aNow)
 {
   if (aRequest.mPath == "/control") {
     Control(aRequest, aNow);
--- a/modules/testbed/src/tool_standin.cpp
+++ b/modules/testbed/src/tool_standin.cpp
@@ -1,6 +1,7 @@
 #include "sycamore/testbed/tool_standin.h"
 
 #include "sycamore/base/random.h"
+#include "sycamore/testbed/control_key.h"
 #include "sycamore/testbed/json.h"
 #include "sycamore/testbed/reply.h"
 
@@ -43,7 +44,7 @@
 static std::string
 FieldOfBody(const json::object& aBody, std::string_view aKey)
 {
-  const std::string own = TextField(aBody, aKey);
+  std::string own = TextField(aBody, aKey);
   const json::value* arguments = aBody.if_contains("arguments");
   if (!own.empty() || arguments == nullptr || !arguments->is_object()) {
     return own;
@@ -77,14 +78,11 @@
 base::Result<base::Unit>
 ToolStandin::OnControl(const json::object& aControl, base::TimePoint /*aNow*/)
 {
-  for (const auto& field : aControl) {
-    if (field.key() != "delay_ms") {
-      return base::Error{ base::ErrorKind::InvalidField,
-                          "unknown control key",
-                          std::string(field.key()) };
-    }
+  auto checked = CheckControl(aControl, { { "delay_ms", ValueKind::Number } });
+  if (!base::IsOk(checked)) {
+    return checked;
   }
-  mDelay = base::Millis(IntField(aControl, "delay_ms"));
+  mDelay = MillisField(aControl, "delay_ms", mDelay);
   return base::Unit{};
 }
 
--- a/modules/testbed/src/weights_standin.cpp
+++ b/modules/testbed/src/weights_standin.cpp
@@ -1,5 +1,6 @@
 #include "sycamore/testbed/weights_standin.h"
 
+#include "sycamore/testbed/control_key.h"
 #include "sycamore/testbed/json.h"
 #include "sycamore/testbed/reply.h"
 
@@ -50,11 +51,10 @@
 base::Result<base::Unit>
 WeightsStandin::OnControl(const json::object& aControl, base::TimePoint /*aNow*/)
 {
-  for (const auto& field : aControl) {
-    const std::string_view key = field.key();
-    if (key != "slots_per_second" && key != "burst") {
-      return base::Error{ base::ErrorKind::InvalidField, "unknown control key", std::string(key) };
-    }
+  auto checked = CheckControl(
+    aControl, { { "slots_per_second", ValueKind::Number }, { "burst", ValueKind::Number } });
+  if (!base::IsOk(checked)) {
+    return checked;
   }
   mSlotsPerSecond = DoubleField(aControl, "slots_per_second", mSlotsPerSecond);
   mBurst = DoubleField(aControl, "burst", mBurst);
--- a/modules/testbed/standin/main.cpp
+++ b/modules/testbed/standin/main.cpp
@@ -197,7 +197,7 @@
     LogError(aListen, base::ErrorOf(bound));
     return "";
   }
-  const std::string name = http::ToString(base::ValueOf(bound));
+  std::string name = http::ToString(base::ValueOf(bound));
   base::Log(base::LogEvent::StandinStarted, "link listening on {}", name);
   return name;
 }
--- a/modules/testbed/tests/engine_standin_test.cpp
+++ b/modules/testbed/tests/engine_standin_test.cpp
@@ -33,7 +33,9 @@
   EngineStandinFixture() { Use(std::make_unique<EngineStandin>(TestSettings())); }
 
   // Starts a call of a program with the messages given so far in mHistory plus aContent.
-  uint64_t Start(const std::string& aProgram, const std::string& aContent, json::object aExtra = {})
+  uint64_t Start(const std::string& aProgram,
+                 const std::string& aContent,
+                 const json::object& aExtra = {})
   {
     json::array messages = mHistory;
     messages.push_back(json::object{ { "role", "user" }, { "content", aContent } });
@@ -51,7 +53,7 @@
     const uint64_t request = Start(aProgram, aContent);
     mHistory = mLast;
     mElapsed = RunUntilAnswered(request);
-    const auto answer = Json(request);
+    auto answer = Json(request);
     const auto& message = answer.at("choices").as_array().at(0).as_object().at("message");
     mHistory.push_back(message);
     return answer;
--- a/modules/testbed/tests/log_standin_test.cpp
+++ b/modules/testbed/tests/log_standin_test.cpp
@@ -114,6 +114,9 @@
   BOOST_TEST(Status(Request("POST", "/control", R"({"retain":1})")) == 422);
   BOOST_TEST(Status(Request("POST", "/control", R"({"faults":[{"kind":"explode"}]})")) == 422);
   BOOST_TEST(Status(Request("POST", "/control", R"({"faults":[{"knd":"hang"}]})")) == 422);
+  BOOST_TEST(Status(Request("POST", "/control", R"({"retain_records":"2"})")) == 422);
+  BOOST_TEST(Status(Request("POST", "/control", R"({"faults":[{"kind":"hang","count":"1"}]})")) ==
+             422);
 }
 
 }
