--- a/modules/entry/src/call_intake.h
+++ b/modules/entry/src/call_intake.h
@@ -13,15 +13,15 @@
 class CallIntake
 {
 public:
-  // aOnTurnLimit ends a program that has reached its turn limit.
+  // aOnDraining keeps a request for the next owner of the partition while this entry is stopping.
   CallIntake(const CallParts& aParts,
              CallRunner& aRunner,
              Answers& aAnswers,
              ProgramMemory& aMemory,
-             std::function<void(const base::ProgramId&)> aOnTurnLimit);
+             std::function<void(const Incoming&, uint32_t)> aOnDraining);
 
   // POST of a call. The program's partition is owned here.
-  void Submit(const Incoming& aIncoming, const base::ProgramId& aId, CallRequest aRequest);
+  void Submit(const Incoming& aIncoming, const base::ProgramId& aId, const CallRequest& aRequest);
 
   // GET of a call.
   void Get(const Incoming& aIncoming, const base::ProgramId& aId, uint32_t aSeq);
@@ -48,8 +48,7 @@
   void Start(const Request& aRequest);
   void OnHistory(const base::ProgramId& aId,
                  uint32_t aSeq,
-                 base::Result<std::vector<History::TextPtr>> aTexts);
-  void Reserve(Call& aCall);
+                 const base::Result<std::vector<History::TextPtr>>& aTexts);
   void Attach(Call& aCall, const Incoming& aIncoming, const CallRequest& aRequest);
   void Replay(const Incoming& aIncoming,
               const base::ProgramId& aId,
@@ -66,7 +65,7 @@
   CallRunner& mRunner;
   Answers& mAnswers;
   ProgramMemory& mMemory;
-  std::function<void(const base::ProgramId&)> mOnTurnLimit;
+  std::function<void(const Incoming&, uint32_t)> mOnDraining;
 };
 
 // Finds a program; UnknownProgram or ProgramExpired if it is not in the state.
--- a/modules/entry/src/core_impl.cpp
+++ b/modules/entry/src/core_impl.cpp
@@ -12,6 +12,13 @@
 // Upper bound of the time that a request without a deadline of its own may take here.
 static constexpr base::Millis kLongestRequest{ 24LL * 3600 * 1000 };
 
+// Buckets of table rows that were not used for this time are dropped; they would be full anyway.
+static constexpr base::Millis kRowIdle{ 60000 };
+
+// Without the log a release cannot be recorded; the stop does not wait for it longer than this. The
+// next owner then claims after the owner timeout.
+static constexpr base::Millis kReleaseWait{ 5000 };
+
 EntryCore::Impl::Impl(Context aContext)
   : mContext(std::move(aContext))
   , mAnswers(mContext)
@@ -24,6 +31,7 @@
   , mHistory(mContext)
   , mDelivery(mAnswers)
   , mRecorder(mCalls, mCommits, mPartitions, mPrograms)
+  , mReservations(mCalls, mCommits, mPartitions, mPrograms, mRecorder)
   , mRunner(CallParts{ mContext,
                        mCalls,
                        mRecorder,
@@ -33,17 +41,23 @@
                        mPeers,
                        mAdmission,
                        mPrograms,
+                       mReservations,
                        mRouter,
-                       mTable })
+                       mTable,
+                       [this](const base::ProgramId& aId, const std::string& aLimit) {
+                         mService.EndByLimit(aId, aLimit);
+                       } })
   , mMemory(mContext, mPeers, mPrograms, mRouter)
   , mService(mRunner.Parts(), mAnswers, mCommits, mRunner, mMemory)
   , mIntake(mRunner.Parts(),
             mRunner,
             mAnswers,
             mMemory,
-            [this](const base::ProgramId& aId) { mService.EndByLimit(aId, "turn_limit"); })
+            [this](const Incoming& aIncoming, uint32_t aPartition) {
+              mForwarder.Forward(aIncoming, aPartition);
+            })
   , mForwarder(mContext, mAnswers, mPeers, mPartitions)
-  , mCheckpoints(mContext, mCommits, mPartitions, mPrograms)
+  , mCheckpoints(mContext, mCommits, mHistory, mPartitions, mPrograms)
   , mMembership(mContext, mPeers, mPartitions, mTable)
   , mApi(mContext,
          mAnswers,
@@ -72,7 +86,11 @@
 bool
 EntryCore::Impl::Drained() const
 {
-  return mContext.mDraining && mPartitions.OwnedCount() == 0 && mAnswers.OpenCount() == 0;
+  if (!mContext.mDraining || mAnswers.OpenCount() > 0) {
+    return false;
+  }
+  const bool waited = mContext.mNow - mDrainStarted >= kReleaseWait;
+  return mPartitions.OwnedCount() == 0 || (waited && mPartitions.AllOwnedTroubled());
 }
 
 std::string
@@ -99,7 +117,7 @@
 EntryCore::Impl::OnAcquired(uint32_t aPartition)
 {
   const ledger::PartitionState& state = *mPartitions.Owned(aPartition);
-  mPrograms.OnAcquired(state);
+  mPrograms.OnAcquired(state, mPartitions.At(aPartition).mReleased);
   mCheckpoints.OnAcquired(aPartition);
   mRunner.OnAcquired(state);
   RunParked(aPartition);
@@ -174,6 +192,7 @@
     mPartitions.OnOpened(*opened);
   } else if (const auto* batch = std::get_if<ledger::BatchRead>(&aEvent)) {
     mPartitions.OnBatch(*batch);
+    mCheckpoints.OnBatch(*batch);
   } else if (const auto* trouble = std::get_if<ledger::LogTrouble>(&aEvent)) {
     mPartitions.OnTrouble(*trouble);
   } else {
@@ -202,6 +221,7 @@
   mMemory.OnTick();
   mForwarder.OnTick();
   mCheckpoints.OnTick();
+  mAdmission.Trim(kRowIdle, mContext.mNow);
   if (mContext.mDraining) {
     ReleaseIdle();
   }
@@ -214,6 +234,7 @@
   if (!mContext.mDraining) {
     base::Log(base::LogEvent::DrainStarted, "{} calls in progress", mCalls.Size());
     mContext.mDraining = true;
+    mDrainStarted = mContext.mNow;
     ReleaseIdle();
     mMembership.OnTick();
   }
--- a/modules/entry/src/core_impl.h
+++ b/modules/entry/src/core_impl.h
@@ -78,6 +78,7 @@
   CallBook mCalls;
   Delivery mDelivery;
   CallRecorder mRecorder;
+  Reservations mReservations;
   CallRunner mRunner;
   ProgramMemory mMemory;
   ProgramService mService;
@@ -86,6 +87,7 @@
   Checkpoints mCheckpoints;
   Membership mMembership;
   Metrics mMetrics;
+  base::TimePoint mDrainStarted;
   Api mApi;
 };
 
