--- a/modules/testbed/src/standin_host.cpp
+++ b/modules/testbed/src/standin_host.cpp
@@ -1,5 +1,7 @@
 #include "sycamore/testbed/standin_host.h"
 
+#include "sycamore/base/log.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -41,7 +43,9 @@
     return mEvents.TryPush(Received{ port, std::move(aRequest) });
   };
   handlers.mOnClosed = [this, port](uint64_t aRequest) {
-    mEvents.TryPush(Closed{ port, aRequest });
+    if (!mEvents.TryPush(Closed{ port, aRequest }) && !mStopping.load()) {
+      base::Log(base::LogEvent::RingFull, "request {} runs on after its caller has gone", aRequest);
+    }
   };
   auto server = std::make_unique<http::Server>(Limits(), std::move(handlers));
   http::Server* sender = server.get();
