--- a/modules/testbed/src/standin_host.cpp
+++ b/modules/testbed/src/standin_host.cpp
@@ -1,5 +1,7 @@
 #include "sycamore/testbed/standin_host.h"
 
+#include "sycamore/base/log.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -41,7 +43,9 @@
     return mEvents.TryPush(Received{ port, std::move(aRequest) });
   };
   handlers.mOnClosed = [this, port](uint64_t aRequest) {
-    mEvents.TryPush(Closed{ port, aRequest });
+    if (!mEvents.TryPush(Closed{ port, aRequest }) && !mStopping.load()) {
+      base::Log(base::LogEvent::RingFull, "request {} runs on after its caller has gone", aRequest);
+    }
   };
   auto server = std::make_unique<http::Server>(Limits(), std::move(handlers));
   http::Server* sender = server.get();
@@ -74,6 +78,8 @@
   for (const auto& server : mServers) {
     server->Stop();
   }
+  // A stopped server keeps its listening socket; clients would connect and wait for an answer.
+  mServers.clear();
 }
 
 void
@@ -82,18 +88,18 @@
   while (!mStopping.load()) {
     auto event = mEvents.PopFor(UntilNextTimer());
     if (event) {
-      Handle(std::move(*event));
+      Handle(*event);
     }
     RunTimers();
   }
 }
 
 void
-StandinHost::Handle(Event aEvent)
+StandinHost::Handle(const Event& aEvent)
 {
   const auto now = base::Clock::now();
-  if (auto* received = std::get_if<Received>(&aEvent)) {
-    mPorts.at(received->mPort)->OnRequest(std::move(received->mRequest), now);
+  if (const auto* received = std::get_if<Received>(&aEvent)) {
+    mPorts.at(received->mPort)->OnRequest(received->mRequest, now);
     return;
   }
   const auto& closed = std::get<Closed>(aEvent);
