Encode tool names as one path segment; count older tables as contact

Cause: (1) a tool name could name any path of the target; (2) in a network partition whose entries hold an older table the sidecar refused all work after 7 s instead of after 300 s; (3) a stream that did not fit into the queue was reported as "overloaded", which callers read as not run. Conclusion: three faults fixed, each with a test except (3), whose error code is set in TargetIo.

--- a/modules/sidecar/include/sycamore/sidecar/config_age.h
+++ b/modules/sidecar/include/sycamore/sidecar/config_age.h
@@ -23,8 +23,9 @@
   // Whether a received table of aVersion is newer than the present one.
   bool IsNewer(uint64_t aVersion) const;
 
-  // An entry stated that it holds aVersion, confirmed aAge before sending. Only a statement about
-  // the present version confirms it.
+  // An entry stated that it holds aVersion, confirmed aAge before sending. A higher version shows
+  // that the present one is outdated and counts for nothing; a lower one is contact, since an entry
+  // without the log may keep an older table for mConfirmed; only the same one confirms.
   void Stated(uint64_t aVersion, base::Millis aAge, base::TimePoint aNow);
 
   // A table was received and, if newer, adopted.
@@ -41,7 +42,7 @@
 private:
   ConfigAgeLimits mLimits;
   uint64_t mVersion = 0;
-  std::optional<base::TimePoint> mHeardAt;     // Last statement about the present version.
+  std::optional<base::TimePoint> mHeardAt;     // Last statement of no higher version.
   std::optional<base::TimePoint> mConfirmedAt; // By the log, on this machine's clock.
 };
 
--- a/modules/sidecar/src/call_request.cpp
+++ b/modules/sidecar/src/call_request.cpp
@@ -68,6 +68,23 @@
   return fields;
 }
 
+// Encodes a name as one path segment, so that it cannot name anything outside /tools/.
+static std::string
+PathSegment(std::string_view aName)
+{
+  std::string segment;
+  for (const char c : aName) {
+    const bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+                       c == '-' || c == '_' || c == '.' || c == '~';
+    if (plain) {
+      segment += c;
+    } else {
+      segment += fmt::format("%{:02X}", static_cast<unsigned char>(c));
+    }
+  }
+  return segment;
+}
+
 TargetRequest
 RequestFor(const wire::DispatchT& aDispatch, const TargetState& aTarget, Millis aDeadline)
 {
@@ -80,8 +97,7 @@
     request.mStream = aDispatch.stream;
     return request;
   }
-  const bool absolute = aDispatch.path.starts_with('/');
-  request.mPath = absolute ? aDispatch.path : "/tools/" + aDispatch.path;
+  request.mPath = "/tools/" + PathSegment(aDispatch.path);
   request.mBody = aDispatch.body;
   return request;
 }
--- a/modules/sidecar/src/call_runner.cpp
+++ b/modules/sidecar/src/call_runner.cpp
@@ -94,6 +94,9 @@
   if (model && !IsObjectText(aDispatch.body)) {
     return Error{ ErrorKind::MalformedBody, "the body is no JSON object", "body" };
   }
+  if (!model && (aDispatch.path.empty() || aDispatch.path.starts_with('.'))) {
+    return Error{ ErrorKind::InvalidField, "the path names no tool", "path" };
+  }
   if (Queued(*target) >= kMaxWaiting) {
     return Error{ ErrorKind::Overloaded, "the queue of the target is full", "" };
   }
--- a/modules/sidecar/src/config_age.cpp
+++ b/modules/sidecar/src/config_age.cpp
@@ -24,10 +24,13 @@
 void
 ConfigAge::Stated(uint64_t aVersion, Millis aAge, TimePoint aNow)
 {
-  if (aVersion != mVersion || aAge < Millis(0)) {
+  if (aVersion > mVersion || aAge < Millis(0)) {
     return;
   }
   mHeardAt = aNow;
+  if (aVersion < mVersion) {
+    return;
+  }
   const TimePoint confirmed = aNow - std::min(aAge, kLongestAge);
   mConfirmedAt = std::max(mConfirmedAt.value_or(confirmed), confirmed);
 }
--- a/modules/sidecar/src/sidecar_impl.cpp
+++ b/modules/sidecar/src/sidecar_impl.cpp
@@ -185,10 +185,10 @@
     return;
   }
   const auto parsed = table::FromJson(aPush.json);
-  if (IsOk(parsed)) {
+  if (IsOk(parsed) && ValueOf(parsed).mVersion == aPush.version) {
     mCore.OnTable(ValueOf(parsed), age, aNow);
   } else {
-    Log(LogEvent::PeerProtocolError, "malformed table: {}", ErrorOf(parsed).mMessage);
+    Log(LogEvent::PeerProtocolError, "the pushed table of version {} is malformed", aPush.version);
   }
 }
 
--- a/modules/sidecar/src/target_io.cpp
+++ b/modules/sidecar/src/target_io.cpp
@@ -28,7 +28,7 @@
   }
   handlers.mOnDone = [aTicket, lost, &aQueue](http::ClientResponse aResponse) {
     if (*lost) {
-      const Error error{ ErrorKind::Overloaded, "the sidecar could not take the stream", "" };
+      const Error error{ ErrorKind::TargetFailed, "the sidecar could not take the stream", "" };
       aQueue.PushReport(TargetFailed{ aTicket, error, SendProgress::MaybeSent });
     } else {
       aQueue.PushReport(TargetDone{ aTicket, std::move(aResponse) });
--- a/modules/sidecar/tests/config_age_test.cpp
+++ b/modules/sidecar/tests/config_age_test.cpp
@@ -62,6 +62,19 @@
   BOOST_TEST(mAge.Stale(mNow + Seconds(2)));
 }
 
+// Guards against an hour without service in a partition whose entries have an older table than the
+// sidecar, and against taking their word as a confirmation.
+BOOST_FIXTURE_TEST_CASE(ConfigAgeWithEntriesOfOlderVersionIsStaleAfterLongLimit, ConfigAgeFixture)
+{
+  mAge.Adopted(3, Millis(0), mNow);
+  for (int second = 0; second <= 300; ++second) {
+    mAge.Stated(2, Millis(0), mNow + Seconds(second));
+    BOOST_TEST(!mAge.Stale(mNow + Seconds(second)));
+  }
+  mAge.Stated(2, Millis(0), mNow + Seconds(301));
+  BOOST_TEST(mAge.Stale(mNow + Seconds(301)));
+}
+
 BOOST_FIXTURE_TEST_CASE(ConfigAgeBeforeAnyStatementIsStale, ConfigAgeFixture)
 {
   BOOST_TEST(mAge.Stale(mNow));
--- a/modules/sidecar/tests/core_calls_test.cpp
+++ b/modules/sidecar/tests/core_calls_test.cpp
@@ -75,6 +75,41 @@
   BOOST_TEST(LastOutcome().error == "target_refused");
 }
 
+// Guards against a tool name that reaches another path of the target.
+BOOST_FIXTURE_TEST_CASE(CoreWithHostileToolNameStaysBelowTools, CoreFixture)
+{
+  wire::DispatchT dispatch = Tool("a");
+  dispatch.path = "x/../../control?a b\r\n";
+  Receive(kLink, std::move(dispatch));
+  BOOST_TEST(mOutput.RequestsOf("/tools/x%2F..%2F..%2Fcontrol%3Fa%20b%0D%0A").size() == 1U);
+  wire::DispatchT parent = Tool("b");
+  parent.path = "..";
+  Receive(kLink, std::move(parent));
+  BOOST_TEST(LastOutcome().error == "invalid_field");
+  BOOST_TEST((LastOutcome().result == CallResult::NotRun));
+}
+
+// Guards against taking an engine's refusal of the fencing token for a run.
+BOOST_FIXTURE_TEST_CASE(CoreWhenEngineRejectsFenceTellsNotRun, CoreFixture)
+{
+  Receive(kLink, Model(1));
+  Done(mOutput.RequestsOf(kChat).at(0).mTicket, "", 409);
+  BOOST_TEST((LastOutcome().result == CallResult::NotRun));
+  BOOST_TEST(LastOutcome().error == "fenced");
+}
+
+// Guards against losing the target's error message of a streamed call.
+BOOST_FIXTURE_TEST_CASE(CoreWhenStreamedCallFailsPassesErrorBodyOn, CoreFixture)
+{
+  Receive(kLink, Model(1));
+  const uint64_t ticket = mOutput.RequestsOf(kChat).at(0).mTicket;
+  mCore->OnData(ticket, R"({"error":"too long"})", mNow);
+  Done(ticket, "", 400);
+  BOOST_TEST((LastOutcome().result == CallResult::Answered));
+  BOOST_TEST(LastOutcome().status == 400U);
+  BOOST_TEST(LastOutcome().body == R"({"error":"too long"})");
+}
+
 // Guards against exceeding the target's limit, and against calls that never leave the queue.
 BOOST_FIXTURE_TEST_CASE(CoreWithFullTargetQueuesUntilACallEnds, CoreFixture)
 {
