Bound the bytes of waiting calls; drop bodies of started ones

Cause: 1,024 waiting calls with histories of 140,000 tokens would take several hundred MB, and each running call kept two copies of its body; a daemon is to stay below 64 MB. Waiting bodies are limited to 16 MB in total; beyond that a call is refused as not run. Conclusion: the test with 4 MB bodies guards the limit.

--- a/modules/sidecar/include/sycamore/sidecar/sidecar_output.h
+++ b/modules/sidecar/include/sycamore/sidecar/sidecar_output.h
@@ -38,7 +38,7 @@
   // Returns false if the link is gone or its queue is full.
   virtual bool SendFrame(transport::LinkId aLink, const wire::FrameT& aFrame) = 0;
 
-  virtual void StartRequest(const TargetRequest& aRequest) = 0;
+  virtual void StartRequest(TargetRequest aRequest) = 0;
 
   // The request is still reported once.
   virtual void CancelRequest(uint64_t aTicket) = 0;
--- a/modules/sidecar/src/call_runner.cpp
+++ b/modules/sidecar/src/call_runner.cpp
@@ -22,6 +22,10 @@
 // Calls waiting for one target; more are refused as overloaded.
 static constexpr size_t kMaxWaiting = 1024;
 
+// Bytes of the bodies of all waiting calls; about 28 of the longest histories. The process is to
+// stay below 64 MB.
+static constexpr size_t kMaxWaitingBytes = size_t{ 16 } << 20;
+
 CallRunner::CallRunner(CoreState& aState, CallHooks aHooks)
   : mState(aState)
   , mHooks(std::move(aHooks))
@@ -97,7 +101,9 @@
   if (!model && (aDispatch.path.empty() || aDispatch.path.starts_with('.'))) {
     return Error{ ErrorKind::InvalidField, "the path names no tool", "path" };
   }
-  if (Queued(*target) >= kMaxWaiting) {
+  const bool bytesFit =
+    mWaitingBytes == 0 || mWaitingBytes + aDispatch.body.size() <= kMaxWaitingBytes;
+  if (Queued(*target) >= kMaxWaiting || !bytesFit) {
     return Error{ ErrorKind::Overloaded, "the queue of the target is full", "" };
   }
   return *target;
@@ -240,7 +246,7 @@
   const uint64_t number = mNextNumber++;
   ActiveCall call;
   call.mKey = KeyOf(*aDispatch.call);
-  call.mDispatch = std::make_shared<const wire::DispatchT>(aDispatch);
+  call.mDispatch = std::make_unique<wire::DispatchT>(aDispatch);
   call.mPeer = aPeer;
   call.mQueuedAt = aNow;
   const Millis given(static_cast<int64_t>(std::min<uint64_t>(aDispatch.deadline_ms, 86400000)));
@@ -270,6 +276,7 @@
   queue.mWaiting.push_back(waiting);
   queue.mCalls.push_back(aNumber);
   queue.mTokens += TokensOf(*call.mDispatch);
+  mWaitingBytes += call.mDispatch->body.size();
 }
 
 void
@@ -282,6 +289,7 @@
   queue.mWaiting.erase(queue.mWaiting.begin() + (found - queue.mCalls.begin()));
   queue.mCalls.erase(found);
   queue.mTokens -= TokensOf(*call.mDispatch);
+  mWaitingBytes -= call.mDispatch->body.size();
 }
 
 void
@@ -321,6 +329,8 @@
   const auto remaining = std::chrono::ceil<Millis>(call.mExpiresAt - aNow);
   Ticket ticket{ TicketPurpose::Call, call.mTarget, aNumber, call.mKey.mProgram, aNow };
   call.mTicket = mState.Start(ticket, RequestFor(*call.mDispatch, target, remaining));
+  // The request has its own copy; a history of 140,000 tokens takes more than 500 KB.
+  call.mDispatch->body = std::string();
 }
 
 // The peer becomes the one that outcomes go to, unless its epoch is older than the call's.
--- a/modules/sidecar/src/call_runner.h
+++ b/modules/sidecar/src/call_runner.h
@@ -20,7 +20,7 @@
 struct ActiveCall
 {
   CallKey mKey;
-  std::shared_ptr<const wire::DispatchT> mDispatch;
+  std::unique_ptr<wire::DispatchT> mDispatch; // Without its body once started.
   size_t mTarget = 0;
   uint64_t mPeer = 0; // Incarnation of the entry that last spoke for it.
   base::TimePoint mQueuedAt;
@@ -117,6 +117,7 @@
   std::map<CallKey, uint64_t> mCurrent; // Number of the current attempt of each active call.
   std::vector<Queue> mQueues;           // By target.
   uint64_t mNextNumber = 1;
+  size_t mWaitingBytes = 0; // Bodies of queued calls.
 };
 
 }
--- a/modules/sidecar/src/core_state.h
+++ b/modules/sidecar/src/core_state.h
@@ -74,7 +74,7 @@
     mTickets.emplace(number, aTicket);
     aRequest.mTicket = number;
     aRequest.mTarget = aTicket.mTarget;
-    mOutput.StartRequest(aRequest);
+    mOutput.StartRequest(std::move(aRequest));
     return number;
   }
 };
--- a/modules/sidecar/src/sidecar_impl.cpp
+++ b/modules/sidecar/src/sidecar_impl.cpp
@@ -232,9 +232,9 @@
 }
 
 void
-Sidecar::Impl::StartRequest(const TargetRequest& aRequest)
+Sidecar::Impl::StartRequest(TargetRequest aRequest)
 {
-  mTargets.Start(aRequest);
+  mTargets.Start(std::move(aRequest));
 }
 
 void
--- a/modules/sidecar/src/target_io.cpp
+++ b/modules/sidecar/src/target_io.cpp
@@ -41,12 +41,12 @@
 }
 
 void
-TargetIo::Start(const TargetRequest& aRequest)
+TargetIo::Start(TargetRequest aRequest)
 {
   http::ClientRequest request;
-  request.mMethod = aRequest.mMethod;
-  request.mTarget = aRequest.mPath;
-  request.mBody = aRequest.mBody;
+  request.mMethod = std::move(aRequest.mMethod);
+  request.mTarget = std::move(aRequest.mPath);
+  request.mBody = std::move(aRequest.mBody);
   mIds[aRequest.mTicket] = mClient.Start(mSettings.mTargets.at(aRequest.mTarget).mEndpoint,
                                          std::move(request),
                                          aRequest.mDeadline,
--- a/modules/sidecar/src/target_io.h
+++ b/modules/sidecar/src/target_io.h
@@ -16,7 +16,7 @@
 public:
   TargetIo(const settings::Settings& aSettings, EventQueue& aQueue);
 
-  void Start(const TargetRequest& aRequest);
+  void Start(TargetRequest aRequest);
   void Cancel(uint64_t aTicket);
 
   // The request of aTicket was reported.
--- a/modules/sidecar/tests/core_calls_test.cpp
+++ b/modules/sidecar/tests/core_calls_test.cpp
@@ -121,6 +121,26 @@
   BOOST_TEST(mOutput.RequestsOf(kChat).size() == 3U);
 }
 
+// Guards against long histories in the queue that exceed the memory of the process.
+BOOST_FIXTURE_TEST_CASE(CoreWithManyWaitingBytesRefusesAsOverloaded, CoreFixture)
+{
+  constexpr size_t kBody = size_t{ 4 } << 20;
+  constexpr uint32_t kFit = 4;
+  for (uint32_t seq = 1; seq <= 2 + kFit; ++seq) {
+    wire::DispatchT dispatch = Model(seq);
+    dispatch.body = "{" + std::string(kBody - 2, ' ') + "}";
+    Receive(kLink, std::move(dispatch));
+  }
+  BOOST_TEST(mOutput.FramesOf<wire::CallOutcomeT>(kLink).empty());
+  Receive(kLink, Model(7));
+  BOOST_TEST(LastOutcome().error == "overloaded");
+  BOOST_TEST((LastOutcome().result == CallResult::NotRun));
+  Done(mOutput.RequestsOf(kChat)[0].mTicket, "", 500);
+  Receive(kLink, Model(8));
+  BOOST_TEST(mOutput.FramesOf<wire::CallOutcomeT>(kLink).size() == 2U);
+  BOOST_TEST(mCore->Counters().mQueued == 4U);
+}
+
 // Guards against queued calls that outlive their deadline.
 BOOST_FIXTURE_TEST_CASE(CoreWhenQueuedCallExpiresTellsNotRun, CoreFixture)
 {
--- a/modules/sidecar/tests/core_fixture.h
+++ b/modules/sidecar/tests/core_fixture.h
@@ -21,10 +21,10 @@
     mFrames.emplace_back(aLink, wire::FrameT(aFrame));
     return true;
   }
-  void StartRequest(const TargetRequest& aRequest) override
+  void StartRequest(TargetRequest aRequest) override
   {
-    mRequests.push_back(aRequest);
     mOpen[aRequest.mTicket] = aRequest;
+    mRequests.push_back(std::move(aRequest));
   }
   void CancelRequest(uint64_t aTicket) override { mCancelled.push_back(aTicket); }
   void Publish(wire::HelloT aHello, wire::HeartbeatT aHeartbeat) override
