--- a/modules/sidecar/tests/sidecar_threads.cpp
+++ b/modules/sidecar/tests/sidecar_threads.cpp
@@ -2,6 +2,7 @@
 #include "sycamore/http/client.h"
 #include "sycamore/http/server.h"
 #include "sycamore/sidecar/sidecar.h"
+#include "sycamore/table/table.h"
 #include "sycamore/transport/peer_hub.h"
 
 #include <boost/test/unit_test.hpp>
@@ -17,7 +18,8 @@
 
 static constexpr Seconds kLimit{ 20 };
 
-// An engine and tool over HTTP. Calls are answered at once, except while mHoldBack is set.
+// An engine, a tool and a weight store over HTTP. Calls are answered at once, except while
+// mHoldBack is set.
 class FakeTarget
 {
 public:
@@ -43,6 +45,7 @@
   }
 
   base::Ring<http::Request> mHeld{ 64 };
+  base::Ring<std::string> mChanges{ 64 }; // Bodies of slot requests and orders.
   std::atomic<bool> mHoldBack{ false };
   http::Endpoint mEndpoint;
 
@@ -54,6 +57,10 @@
     if (call && mHoldBack.load()) {
       return mHeld.TryPush(aRequest);
     }
+    if (aRequest.mPath == "/slots" ||
+        (aRequest.mPath == "/v1/orders" && aRequest.mMethod == "POST")) {
+      mChanges.TryPush(aRequest.mBody);
+    }
     if (call) {
       Answer(aRequest);
     } else if (aRequest.mPath == "/v1/cache") {
@@ -162,6 +169,7 @@
     settings.mInstance = "side-1";
     settings.mHttp = { "127.0.0.1", 0 };
     settings.mPeer = { "127.0.0.1", 0 };
+    settings.mWeightStore = aTarget.mEndpoint;
     settings.mTargets = {
       { { "engine-1", "llm", world::TargetKind::Engine, false }, aTarget.mEndpoint, 8 },
       { { "tool-1", "tool", world::TargetKind::Tool, false }, aTarget.mEndpoint, 8 },
@@ -272,6 +280,44 @@
   mSidecar.Stop();
 }
 
+// Guards against a pushed table that takes no effect, and against loading without a slot.
+BOOST_FIXTURE_TEST_CASE(SidecarWithPushedTableTakesSlotAndSendsOrder, AssembledSidecarFixture)
+{
+  table::Table table;
+  table.mVersion = 4;
+  table.mOrders["llm"] = { "base", "lora", "v2", "", 4 };
+  wire::ConfigPushT push;
+  push.version = table.mVersion;
+  push.json = table::ToJson(table);
+  mEntry->Send(std::move(push));
+  const auto slot = mTarget.mChanges.PopFor(kLimit);
+  BOOST_REQUIRE(slot.has_value());
+  BOOST_TEST(slot->find(R"("instance":"side-1")") != std::string::npos);
+  const auto order = mTarget.mChanges.PopFor(kLimit);
+  BOOST_REQUIRE(order.has_value());
+  BOOST_TEST(order->find(R"("version":4)") != std::string::npos);
+  while (mEntry->NextFrame<wire::HeartbeatT>().config_version != table.mVersion) {
+  }
+}
+
+// Guards against an outcome lost with the connection on which its call arrived.
+BOOST_FIXTURE_TEST_CASE(SidecarWhenEntryReconnectsAnswersLookup, AssembledSidecarFixture)
+{
+  mTarget.mHoldBack.store(true);
+  Dispatch(1, false);
+  const auto held = mTarget.mHeld.PopFor(kLimit);
+  BOOST_REQUIRE(held.has_value());
+  mEntry.reset();
+  mTarget.Answer(*held);
+  mEntry = std::make_unique<FakeEntry>(mSidecar.PeerEndpoint());
+  wire::LookupT lookup;
+  lookup.call = Id(1, "1");
+  mEntry->Send(std::move(lookup));
+  const auto outcome = mEntry->NextFrame<wire::CallOutcomeT>();
+  BOOST_TEST((outcome.result == wire::CallResult::Answered));
+  BOOST_TEST(outcome.body == R"({"done":true})");
+}
+
 // Guards against a stop that hangs or crashes while calls run.
 BOOST_FIXTURE_TEST_CASE(SidecarWhenStoppedWithRunningCallsEnds, AssembledSidecarFixture)
 {
