Read the engine's order at once after a rejected fence; accept null errors in events

Cause: after a replacement sidecar's newer order, calls were refused for up to 10 s, until the next regular read; engines that send "error": null in each event would have failed every stream. A leaving sidecar no longer sends orders. Conclusion: one test each for the two faults.

--- a/modules/sidecar/include/sycamore/sidecar/order_keeper.h
+++ b/modules/sidecar/include/sycamore/sidecar/order_keeper.h
@@ -33,6 +33,9 @@
   // The order of the engine's service in the present table. A lower version than seen is ignored.
   void Want(const table::Order& aOrder);
 
+  // The engine's state may have changed; it is read at the next poll.
+  void Invalidate();
+
   // The next action; each is reported once, and no other follows until it is answered.
   OrderAction Poll(base::TimePoint aNow);
 
--- a/modules/sidecar/src/answer_parser.cpp
+++ b/modules/sidecar/src/answer_parser.cpp
@@ -114,8 +114,10 @@
   if (event == nullptr) {
     return Malformed("an event of the answer is no JSON object");
   }
-  if (event->contains("error")) {
-    return Malformed("the target reported an error: " + json::serialize(event->at("error")));
+  // Some engines send the field as null in every event.
+  const json::value* reported = event->if_contains("error");
+  if (reported != nullptr && !reported->is_null()) {
+    return Malformed("the target reported an error: " + json::serialize(*reported));
   }
   if (const auto usage = UsageOf(*event)) {
     mUsage = usage;
--- a/modules/sidecar/src/call_results.cpp
+++ b/modules/sidecar/src/call_results.cpp
@@ -151,6 +151,9 @@
     outcome->result = wire::CallResult::NotRun;
     outcome->error = base::AnswerFor(ErrorKind::Fenced).mCode;
     outcome->message = "the engine rejected the fencing token";
+    if (mHooks.mFenced) {
+      mHooks.mFenced(call.mTarget);
+    }
   } else if (!success) {
     outcome->error = base::AnswerFor(ErrorKind::TargetFailed).mCode;
     outcome->message = "the target answered with an error status";
--- a/modules/sidecar/src/call_runner.h
+++ b/modules/sidecar/src/call_runner.h
@@ -36,12 +36,13 @@
   bool mSuperseded = false; // A newer attempt took its place; no outcome is sent.
 };
 
-// Hooks of the calls into engine memory.
+// Hooks of the calls into engine memory and orders.
 struct CallHooks
 {
   std::function<bool(size_t, const base::ProgramId&)> mHasPrefix;
   std::function<void(size_t, const base::ProgramId&, base::TimePoint)> mStarted;
   std::function<void(size_t, const base::ProgramId&, uint64_t, base::TimePoint)> mFinished;
+  std::function<void(size_t)> mFenced; // The engine rejected the fencing token of a call.
 };
 
 // Admits, queues, orders, starts and finishes calls.
--- a/modules/sidecar/src/order_keeper.cpp
+++ b/modules/sidecar/src/order_keeper.cpp
@@ -57,6 +57,12 @@
   }
 }
 
+void
+OrderKeeper::Invalidate()
+{
+  mNextRead = TimePoint();
+}
+
 OrderAction
 OrderKeeper::Poll(TimePoint aNow)
 {
--- a/modules/sidecar/src/order_runner.cpp
+++ b/modules/sidecar/src/order_runner.cpp
@@ -32,6 +32,12 @@
   return mKeepers.at(aTarget);
 }
 
+void
+OrderRunner::OnFenced(size_t aTarget)
+{
+  mKeepers.at(aTarget).Invalidate();
+}
+
 double
 OrderRunner::Random()
 {
--- a/modules/sidecar/src/order_runner.h
+++ b/modules/sidecar/src/order_runner.h
@@ -22,6 +22,9 @@
   void OnDone(const Ticket& aTicket, const http::ClientResponse& aResponse, base::TimePoint aNow);
   void OnFailed(const Ticket& aTicket, base::TimePoint aNow);
 
+  // An engine rejected the fencing token of a call, so it has a newer order than this process.
+  void OnFenced(size_t aTarget);
+
   const OrderKeeper& Keeper(size_t aTarget) const;
 
 private:
--- a/modules/sidecar/src/sidecar_core.cpp
+++ b/modules/sidecar/src/sidecar_core.cpp
@@ -33,7 +33,7 @@
 }
 
 static CallHooks
-HooksInto(MemoryTracker& aTracker)
+HooksInto(MemoryTracker& aTracker, OrderRunner& aOrders)
 {
   CallHooks hooks;
   hooks.mHasPrefix = [&aTracker](size_t aTarget, const base::ProgramId& aProgram) {
@@ -46,6 +46,7 @@
     [&aTracker](size_t aTarget, const base::ProgramId& aProgram, uint64_t aTokens, TimePoint aNow) {
       aTracker.CallFinished(aTarget, aProgram, aTokens, aNow);
     };
+  hooks.mFenced = [&aOrders](size_t aTarget) { aOrders.OnFenced(aTarget); };
   return hooks;
 }
 
@@ -56,7 +57,7 @@
     : mState(InitialState(aSettings, aIncarnation, aOutput))
     , mMemory(mState)
     , mOrders(mState)
-    , mCalls(mState, HooksInto(mMemory.Tracker()))
+    , mCalls(mState, HooksInto(mMemory.Tracker(), mOrders))
     , mLoads(mState)
     , mConfig({ aSettings.mConfigMaxAge, aSettings.mConfigMaxAgeWithPeers })
   {
@@ -291,7 +292,10 @@
   mImpl->mCalls.OnTick(aNow);
   mImpl->mLoads.OnTick(aNow);
   mImpl->mMemory.OnTick(aNow);
-  mImpl->mOrders.OnTick(aNow);
+  // A leaving engine need not load anything any more.
+  if (!mImpl->mDraining) {
+    mImpl->mOrders.OnTick(aNow);
+  }
   if (mImpl->mDraining && mImpl->mCalls.Active() > 0) {
     mImpl->mLastFinished = aNow;
   }
--- a/modules/sidecar/tests/answer_parser_test.cpp
+++ b/modules/sidecar/tests/answer_parser_test.cpp
@@ -58,6 +58,7 @@
 {
   BOOST_TEST(!IsOk(AnswerParser().Feed("data: {\"choices\"\n")));
   BOOST_TEST(!IsOk(AnswerParser().Feed("data: {\"error\":{\"message\":\"no\"}}\n")));
+  BOOST_TEST(IsOk(AnswerParser().Feed("data: {\"choices\":[],\"error\":null,\"usage\":null}\n")));
   BOOST_TEST(!IsOk(ParseAnswer("<html>")));
   BOOST_TEST(!IsOk(ParseAnswer(R"({"choices":[]})")));
   BOOST_TEST(!IsOk(AnswerParser().Feed(std::string(AnswerParser::kMaxAnswerBytes + 1, 'x'))));
--- a/modules/sidecar/tests/core_memory_test.cpp
+++ b/modules/sidecar/tests/core_memory_test.cpp
@@ -201,6 +201,20 @@
   BOOST_TEST(calls[0].mBody.find(R"("fence":7)") != std::string::npos);
 }
 
+// Guards against refusing calls until the next regular read of the engine's order.
+BOOST_FIXTURE_TEST_CASE(CoreWhenFenceIsRejectedReadsNewerOrderAtOnce, CoreMemoryFixture)
+{
+  ServeEngine();
+  mEngineOrder = R"({"version":9})";
+  Receive(kLink, Model(1));
+  Done(mOutput.RequestsOf("/v1/chat/completions").at(0).mTicket, "", 409);
+  PassServed(Millis(300));
+  Receive(kLink, Model(2));
+  const auto calls = mOutput.RequestsOf("/v1/chat/completions");
+  BOOST_REQUIRE(calls.size() == 2U);
+  BOOST_TEST(calls[1].mBody.find(R"("fence":9)") != std::string::npos);
+}
+
 // Guards against overruling a replacement sidecar whose engine has a newer order.
 BOOST_FIXTURE_TEST_CASE(CoreWhenEngineHasNewerOrderSendsNone, CoreMemoryFixture)
 {
