--- a/modules/sidecar/src/call_runner.h
+++ b/modules/sidecar/src/call_runner.h
@@ -20,7 +20,7 @@
 struct ActiveCall
 {
   CallKey mKey;
-  std::shared_ptr<const wire::DispatchT> mDispatch;
+  std::unique_ptr<wire::DispatchT> mDispatch; // Without its body once started.
   size_t mTarget = 0;
   uint64_t mPeer = 0; // Incarnation of the entry that last spoke for it.
   base::TimePoint mQueuedAt;
@@ -36,12 +36,13 @@
   bool mSuperseded = false; // A newer attempt took its place; no outcome is sent.
 };
 
-// Hooks of the calls into engine memory.
+// Hooks of the calls into engine memory and orders.
 struct CallHooks
 {
   std::function<bool(size_t, const base::ProgramId&)> mHasPrefix;
   std::function<void(size_t, const base::ProgramId&, base::TimePoint)> mStarted;
   std::function<void(size_t, const base::ProgramId&, uint64_t, base::TimePoint)> mFinished;
+  std::function<void(size_t)> mFenced; // The engine rejected the fencing token of a call.
 };
 
 // Admits, queues, orders, starts and finishes calls.
@@ -117,6 +118,7 @@
   std::map<CallKey, uint64_t> mCurrent; // Number of the current attempt of each active call.
   std::vector<Queue> mQueues;           // By target.
   uint64_t mNextNumber = 1;
+  size_t mWaitingBytes = 0; // Bodies of queued calls.
 };
 
 }
--- a/modules/sidecar/src/target_io.cpp
+++ b/modules/sidecar/src/target_io.cpp
@@ -28,7 +28,7 @@
   }
   handlers.mOnDone = [aTicket, lost, &aQueue](http::ClientResponse aResponse) {
     if (*lost) {
-      const Error error{ ErrorKind::Overloaded, "the sidecar could not take the stream", "" };
+      const Error error{ ErrorKind::TargetFailed, "the sidecar could not take the stream", "" };
       aQueue.PushReport(TargetFailed{ aTicket, error, SendProgress::MaybeSent });
     } else {
       aQueue.PushReport(TargetDone{ aTicket, std::move(aResponse) });
@@ -41,12 +41,12 @@
 }
 
 void
-TargetIo::Start(const TargetRequest& aRequest)
+TargetIo::Start(TargetRequest aRequest)
 {
   http::ClientRequest request;
-  request.mMethod = aRequest.mMethod;
-  request.mTarget = aRequest.mPath;
-  request.mBody = aRequest.mBody;
+  request.mMethod = std::move(aRequest.mMethod);
+  request.mTarget = std::move(aRequest.mPath);
+  request.mBody = std::move(aRequest.mBody);
   mIds[aRequest.mTicket] = mClient.Start(mSettings.mTargets.at(aRequest.mTarget).mEndpoint,
                                          std::move(request),
                                          aRequest.mDeadline,
--- a/modules/sidecar/tests/core_calls_test.cpp
+++ b/modules/sidecar/tests/core_calls_test.cpp
@@ -75,6 +75,41 @@
   BOOST_TEST(LastOutcome().error == "target_refused");
 }
 
+// Guards against a tool name that reaches another path of the target.
+BOOST_FIXTURE_TEST_CASE(CoreWithHostileToolNameStaysBelowTools, CoreFixture)
+{
+  wire::DispatchT dispatch = Tool("a");
+  dispatch.path = "x/../../control?a b\r\n";
+  Receive(kLink, std::move(dispatch));
+  BOOST_TEST(mOutput.RequestsOf("/tools/x%2F..%2F..%2Fcontrol%3Fa%20b%0D%0A").size() == 1U);
+  wire::DispatchT parent = Tool("b");
+  parent.path = "..";
+  Receive(kLink, std::move(parent));
+  BOOST_TEST(LastOutcome().error == "invalid_field");
+  BOOST_TEST((LastOutcome().result == CallResult::NotRun));
+}
+
+// Guards against taking an engine's refusal of the fencing token for a run.
+BOOST_FIXTURE_TEST_CASE(CoreWhenEngineRejectsFenceTellsNotRun, CoreFixture)
+{
+  Receive(kLink, Model(1));
+  Done(mOutput.RequestsOf(kChat).at(0).mTicket, "", 409);
+  BOOST_TEST((LastOutcome().result == CallResult::NotRun));
+  BOOST_TEST(LastOutcome().error == "fenced");
+}
+
+// Guards against losing the target's error message of a streamed call.
+BOOST_FIXTURE_TEST_CASE(CoreWhenStreamedCallFailsPassesErrorBodyOn, CoreFixture)
+{
+  Receive(kLink, Model(1));
+  const uint64_t ticket = mOutput.RequestsOf(kChat).at(0).mTicket;
+  mCore->OnData(ticket, R"({"error":"too long"})", mNow);
+  Done(ticket, "", 400);
+  BOOST_TEST((LastOutcome().result == CallResult::Answered));
+  BOOST_TEST(LastOutcome().status == 400U);
+  BOOST_TEST(LastOutcome().body == R"({"error":"too long"})");
+}
+
 // Guards against exceeding the target's limit, and against calls that never leave the queue.
 BOOST_FIXTURE_TEST_CASE(CoreWithFullTargetQueuesUntilACallEnds, CoreFixture)
 {
@@ -86,6 +121,26 @@
   BOOST_TEST(mOutput.RequestsOf(kChat).size() == 3U);
 }
 
+// Guards against long histories in the queue that exceed the memory of the process.
+BOOST_FIXTURE_TEST_CASE(CoreWithManyWaitingBytesRefusesAsOverloaded, CoreFixture)
+{
+  constexpr size_t kBody = size_t{ 4 } << 20;
+  constexpr uint32_t kFit = 4;
+  for (uint32_t seq = 1; seq <= 2 + kFit; ++seq) {
+    wire::DispatchT dispatch = Model(seq);
+    dispatch.body = "{" + std::string(kBody - 2, ' ') + "}";
+    Receive(kLink, std::move(dispatch));
+  }
+  BOOST_TEST(mOutput.FramesOf<wire::CallOutcomeT>(kLink).empty());
+  Receive(kLink, Model(7));
+  BOOST_TEST(LastOutcome().error == "overloaded");
+  BOOST_TEST((LastOutcome().result == CallResult::NotRun));
+  Done(mOutput.RequestsOf(kChat)[0].mTicket, "", 500);
+  Receive(kLink, Model(8));
+  BOOST_TEST(mOutput.FramesOf<wire::CallOutcomeT>(kLink).size() == 2U);
+  BOOST_TEST(mCore->Counters().mQueued == 4U);
+}
+
 // Guards against queued calls that outlive their deadline.
 BOOST_FIXTURE_TEST_CASE(CoreWhenQueuedCallExpiresTellsNotRun, CoreFixture)
 {
