--- a/spec/config.pml
+++ b/spec/config.pml
@@ -26,7 +26,7 @@
  */
 
 #ifndef LOG_SIZE
-#define LOG_SIZE 6
+#define LOG_SIZE 5
 #endif
 #define EDITS 3
 #define SNAPSHOTS 2
--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -33,7 +33,7 @@
  */
 
 #ifndef LOG_SIZE
-#define LOG_SIZE 6
+#define LOG_SIZE 5
 #endif
 #ifndef LAST_EPOCH
 #define LAST_EPOCH 2
