--- /dev/null
+++ b/modules/ledger/tests/ownership_property_test.cpp
@@ -0,0 +1,228 @@
+#include "entry_sim.h"
+#include "sycamore/sidecar/call_book.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+#include <vector>
+
+namespace sycamore::ledger::testing {
+
+using sidecar::AdmitDecision;
+using sidecar::CallBook;
+using sidecar::SealState;
+
+static const ProgramId kProgram{ 3, 0, 1 };
+static const std::string kKey = "notice-1";
+
+// The steps of spec/ownership.pml with the real functions behind them: the fold, BatchWriter and
+// the sidecar's CallBook. Both entries are asked for the same non-idempotent call.
+class OwnershipSim
+{
+public:
+  OwnershipSim()
+    : mEntries{ { mLog, 11 }, { mLog, 22 } }
+    , mBook(std::make_unique<CallBook>(mIncarnation, sidecar::CallBookLimits{}))
+  {
+  }
+
+  void Run(uint32_t aAction, uint32_t aArgument)
+  {
+    EntrySim& entry = mEntries[aArgument % 2];
+    const uint32_t choice = aArgument / 2;
+    switch (aAction) {
+      case 0:
+        entry.Claim();
+        break;
+      case 1:
+        Restart(choice);
+        break;
+      case 2:
+        mLog.DeliverLate();
+        break;
+      case 3:
+        Deliver(choice);
+        break;
+      case 4:
+      case 5:
+        Work(entry, choice);
+        break;
+      default:
+        entry.Write(static_cast<AppendFault>(choice % 8 < 5 ? choice % 5 : 0));
+        break;
+    }
+    Respond(entry);
+  }
+
+  uint32_t Runs() const { return mRuns; }
+  bool AnsweredNotRun() const { return mAnsweredNotRun; }
+
+private:
+  struct Dispatch
+  {
+    uint64_t mEpoch = 0;
+    uint64_t mNamed = 0; // The sidecar incarnation that may run it.
+  };
+
+  sidecar::CallKey Key() const { return { kProgram, 0, kKey }; }
+
+  const KeyState* KeyOf(const EntrySim& aEntry) const
+  {
+    const auto program = aEntry.View().mPrograms.find(kProgram);
+    if (program == aEntry.View().mPrograms.end() || program->second.mKeys.count(kKey) == 0) {
+      return nullptr;
+    }
+    return &program->second.mKeys.at(kKey);
+  }
+
+  static bool Decided(const KeyState& aKey)
+  {
+    return aKey.mOutcome && *aKey.mOutcome != LogOutcomeKind::Unknown;
+  }
+
+  // The sidecar dies at most once and forgets everything.
+  void Restart(uint32_t aChoice)
+  {
+    if (mIncarnation == 1 && aChoice % 4 == 0) {
+      ++mIncarnation;
+      mBook = std::make_unique<CallBook>(mIncarnation, sidecar::CallBookLimits{});
+    }
+  }
+
+  // A dispatch reaches the sidecar, or its connection is lost.
+  void Deliver(uint32_t aChoice)
+  {
+    if (mSent.empty()) {
+      return;
+    }
+    const auto place = mSent.begin() + static_cast<ptrdiff_t>(aChoice % mSent.size());
+    const Dispatch sent = *place;
+    mSent.erase(place);
+    if (aChoice % 5 == 0) {
+      return;
+    }
+    const auto admission =
+      mBook->Admit({ Key(), sent.mEpoch, sent.mNamed, 0, false }, base::TimePoint());
+    if (admission.mDecision == AdmitDecision::Refuse) {
+      mRefusedEpoch = sent.mEpoch;
+    }
+    if (admission.mDecision == AdmitDecision::Run) {
+      mBook->SetRunning(Key());
+      mBook->Finish(Key(), std::make_shared<wire::CallOutcomeT>(), base::TimePoint());
+      ++mRuns;
+      RC_ASSERT(mRuns == 1U);
+      RC_ASSERT(!mAnsweredNotRun);
+    }
+  }
+
+  void Work(EntrySim& aEntry, uint32_t aChoice)
+  {
+    if (!aEntry.Owner()) {
+      return;
+    }
+    if (aEntry.View().mPrograms.empty()) {
+      aEntry.Propose(Created(kProgram, 100, 0));
+      return;
+    }
+    const KeyState* key = KeyOf(aEntry);
+    if (key == nullptr) {
+      LogEntryT intent = Intent(kProgram, 1, kKey);
+      intent.record.AsLogIntent()->sidecar_incarnation = mIncarnation;
+      aEntry.Propose(std::move(intent));
+    } else if (Decided(*key)) {
+      Acknowledge(aEntry);
+    } else if (aChoice % 4 == 0) {
+      Seal(aEntry, *key);
+    } else {
+      LookUpOrDispatch(aEntry, *key);
+    }
+  }
+
+  // Only an owner that wrote the intent itself dispatches. After a lost connection it looks the
+  // call up by a new one, which drops the frames of the old one, and sends it again only if unseen.
+  void LookUpOrDispatch(EntrySim& aEntry, const KeyState& aKey)
+  {
+    const uint64_t epoch = aEntry.View().mEpoch;
+    const sidecar::CallRecord* record = mBook->Find(Key());
+    const bool same = aKey.mSidecarIncarnation == mIncarnation;
+    if (same && record != nullptr && record->mState == sidecar::RecordState::Finished) {
+      aEntry.Propose(Outcome(kProgram, 1, kKey, LogOutcomeKind::Answered));
+      return;
+    }
+    if (aKey.mOutcome || aKey.mIntentOffset < aEntry.ClaimOffset()) {
+      return;
+    }
+    if (mRefusedEpoch == epoch) {
+      aEntry.Propose(Outcome(kProgram, 1, kKey, LogOutcomeKind::NotRun));
+    } else if (mDispatchedEpoch != epoch || (same && record == nullptr)) {
+      DropFrames(epoch);
+      mDispatchedEpoch = epoch;
+      mSent.push_back({ epoch, aKey.mSidecarIncarnation });
+    }
+  }
+
+  void Seal(EntrySim& aEntry, const KeyState& aKey)
+  {
+    const SealState state =
+      mBook->Seal(Key(), aEntry.View().mEpoch, aKey.mSidecarIncarnation, base::TimePoint());
+    if (state == SealState::Sealed) {
+      aEntry.Propose(Outcome(kProgram, 1, kKey, LogOutcomeKind::NotRun));
+    } else if (state == SealState::Finished) {
+      aEntry.Propose(Outcome(kProgram, 1, kKey, LogOutcomeKind::Answered));
+    } else if (state == SealState::Unknown && !aKey.mOutcome) {
+      aEntry.Propose(Outcome(kProgram, 1, kKey, LogOutcomeKind::Unknown));
+    }
+  }
+
+  void Acknowledge(EntrySim& aEntry)
+  {
+    DropFrames(aEntry.View().mEpoch);
+    mBook->Ack(Key(), 0, aEntry.View().mEpoch);
+  }
+
+  void DropFrames(uint64_t aEpoch)
+  {
+    std::erase_if(mSent, [aEpoch](const Dispatch& aSent) { return aSent.mEpoch == aEpoch; });
+  }
+
+  void Respond(const EntrySim& aEntry)
+  {
+    const KeyState* key = KeyOf(aEntry);
+    if (key == nullptr || !Decided(*key)) {
+      return;
+    }
+    const bool notRun = *key->mOutcome == LogOutcomeKind::NotRun;
+    RC_ASSERT(mRuns == (notRun ? 0U : 1U));
+    mAnsweredNotRun = mAnsweredNotRun || notRun;
+  }
+
+  FakeLog mLog;
+  EntrySim mEntries[2];
+  uint64_t mIncarnation = 1;
+  std::unique_ptr<CallBook> mBook;
+  std::vector<Dispatch> mSent;
+  uint64_t mDispatchedEpoch = 0;
+  uint64_t mRefusedEpoch = 0;
+  uint32_t mRuns = 0;
+  bool mAnsweredNotRun = false;
+};
+
+// Guards R6 and R7 across the fold, the writer and the sidecar, with the steps of
+// spec/ownership.pml: a call runs at most once, and "not run" is true and stays true.
+BOOST_AUTO_TEST_CASE(OwnershipUnderFaultsRunsKeyedCallAtMostOnce)
+{
+  BOOST_TEST(rc::check("at most one run, and not run is true", [] {
+    OwnershipSim sim;
+    const auto step =
+      rc::gen::pair(rc::gen::inRange<uint32_t>(0, 9), rc::gen::inRange<uint32_t>(0, 1U << 20U));
+    const auto steps =
+      *rc::gen::scale(24.0, rc::gen::container<std::vector<std::pair<uint32_t, uint32_t>>>(step));
+    for (const auto& [action, argument] : steps) {
+      sim.Run(action, argument);
+    }
+    RC_CLASSIFY(sim.Runs() == 1, "ran");
+    RC_CLASSIFY(sim.AnsweredNotRun(), "answered not run");
+  }));
+}
+
+}
