Drive the real functions with the steps of the models

Two entries write with the real BatchWriter to a log with faults, fold with the real fold and dispatch to the sidecar's CallBook, in the order of spec/ownership.pml and spec/budget.pml; two copies of a dispatch may be under way.

--- a/modules/ledger/tests/ownership_property_test.cpp
+++ b/modules/ledger/tests/ownership_property_test.cpp
@@ -138,8 +138,8 @@
     }
   }
 
-  // Only an owner that wrote the intent itself dispatches. After a lost connection it looks the
-  // call up by a new one, which drops the frames of the old one, and sends it again only if unseen.
+  // Only an owner that wrote the intent itself dispatches. It may send a second copy, as after a
+  // lost connection; a refusal says "not run" only if there was no other copy.
   void LookUpOrDispatch(EntrySim& aEntry, const KeyState& aKey)
   {
     const uint64_t epoch = aEntry.View().mEpoch;
@@ -152,11 +152,12 @@
     if (aKey.mOutcome || aKey.mIntentOffset < aEntry.ClaimOffset()) {
       return;
     }
-    if (mRefusedEpoch == epoch) {
+    mCopies = mDispatchedEpoch == epoch ? mCopies : 0;
+    mDispatchedEpoch = epoch;
+    if (mRefusedEpoch == epoch && mCopies == 1) {
       aEntry.Propose(Outcome(kProgram, 1, kKey, LogOutcomeKind::NotRun));
-    } else if (mDispatchedEpoch != epoch || (same && record == nullptr)) {
-      DropFrames(epoch);
-      mDispatchedEpoch = epoch;
+    } else if (mCopies == 0 || (mCopies == 1 && same)) {
+      ++mCopies;
       mSent.push_back({ epoch, aKey.mSidecarIncarnation });
     }
   }
@@ -203,6 +204,7 @@
   std::vector<Dispatch> mSent;
   uint64_t mDispatchedEpoch = 0;
   uint64_t mRefusedEpoch = 0;
+  int mCopies = 0; // Sent by the owner of mDispatchedEpoch.
   uint32_t mRuns = 0;
   bool mAnsweredNotRun = false;
 };
