--- a/modules/ledger/tests/fold_test.cpp
+++ b/modules/ledger/tests/fold_test.cpp
@@ -31,7 +31,8 @@
   void RefusesOwn(std::vector<LogEntryT> aEntries)
   {
     const auto before = mState.mPrograms;
-    BOOST_TEST((Own(std::move(aEntries)) == Verdict::Invalid));
+    const Verdict verdict = Own(std::move(aEntries));
+    BOOST_TEST((verdict == Verdict::Invalid));
     BOOST_TEST((mState.mPrograms == before));
   }
 
--- a/modules/ledger/tests/retention_test.cpp
+++ b/modules/ledger/tests/retention_test.cpp
@@ -29,8 +29,8 @@
 {
   BOOST_TEST(mAges.YoungFrom(kRetention, At(0)) == kNoOffset);
   BOOST_TEST(mAges.OldBelow(Millis(0), At(0)) == 0U);
-  for (int tick = 0; tick <= 200; ++tick) {
-    mAges.Observe(static_cast<uint64_t>(1000 + tick), At(tick));
+  for (uint64_t tick = 0; tick <= 200; ++tick) {
+    mAges.Observe(1000 + tick, At(static_cast<int>(tick)));
   }
   BOOST_TEST(mAges.YoungFrom(10 * kTick, At(200)) == 1191U);
   BOOST_TEST(mAges.OldBelow(10 * kTick, At(200)) == 1190U);
@@ -122,10 +122,10 @@
     mNow += kTick;
     mAges->Observe(mState.mNextOffset, mNow);
     if (mState.mPrograms.empty()) {
-      Append(With(Next(), { Created(kProgram, 10, 0) }));
+      Append(With(Next(), { Created(mProgram, 10, 0) }));
     }
     if (aAdds) {
-      Append(With(Next(), { Turn(kProgram, mState.mPrograms.at(kProgram).mNextSeq, 0, 0) }));
+      Append(With(Next(), { Turn(mProgram, mState.mPrograms.at(mProgram).mNextSeq, 0, 0) }));
     }
     for (const auto& turn : TurnsToRewrite(mSettings, mState, *mAges, mNow, 100)) {
       Append(With(Next(), { RewrittenTurn(turn.mProgram, turn.mTurn.mSeq) }));
@@ -135,7 +135,7 @@
   // Whether the log has dropped a text that a live program needs.
   bool LostText() const
   {
-    const auto& turns = mState.mPrograms.at(kProgram).mTurns;
+    const auto& turns = mState.mPrograms.at(mProgram).mTurns;
     return std::any_of(turns.begin(), turns.end(), [this](const TurnIndex& aTurn) {
       return mNow - mTimes.at(aTurn.mOffset) > kRetention;
     });
@@ -153,7 +153,7 @@
     RC_ASSERT(ApplyBatch(mState, mState.mNextOffset, aBatch) == Verdict::Applied);
   }
 
-  const ProgramId kProgram{ 3, 0, 1 };
+  const ProgramId mProgram{ 3, 0, 1 };
   RetentionSettings mSettings;
   PartitionState mState;
   std::unique_ptr<OffsetAges> mAges;
--- a/spec/budget.pml
+++ b/spec/budget.pml
@@ -11,8 +11,11 @@
  * Steps and the code that implements them:
  *   fold_one          ledger::ApplyBatch, RecordFold::Settle (modules/ledger/src/record_fold.cpp)
  *   append, read_back ledger::BatchWriter::Write (modules/ledger/src/batch_writer.cpp)
- *   reserve, dispatch, settle   entry role (modules/entry)
- *   run               sidecar role and engine: the cap is max_tokens of the call
+ *   reserve           entry::Reservations::Ensure (modules/entry/src/reservations.cpp)
+ *   dispatch          entry::CallRunner::TryDispatch (modules/entry/src/call_runner.cpp)
+ *   settle            entry::CallRecorder::Turn (modules/entry/src/call_recorder.cpp)
+ *   run               sidecar and engine: the cap is max_tokens of the call
+ * modules/ledger/tests/budget_property_test.cpp runs the same steps with the real functions.
  *
  * Guards that a macro removes:
  *   NO_RESERVATION        a call is dispatched before its reservation is durable
--- a/spec/config.pml
+++ b/spec/config.pml
@@ -8,12 +8,12 @@
  * state space, only the first entry's appends fail and only the second sends its table.
  *
  * Steps and the code that implements them:
- *   fold_one            the fold of the table (modules/table)
- *   read_back           table::TableService (modules/table)
- *   start_from_snapshot table::TableService, reading after records were dropped
- *   learn               the rule "only a higher version" for ConfigPush, Hello and Heartbeat
- *                       (modules/entry, modules/sidecar)
- *   snapshot            the entry that appends a snapshot before retention drops records
+ *   fold_one            table::Fold::FoldEdit (modules/table/src/fold.cpp). Its tombstone is one
+ *                       offset for all rows, the last deletion that an editor must have read.
+ *   read_back           table::Editor::AppendAndReadBack (modules/table/src/editor.cpp)
+ *   start_from_snapshot table::Fold::TryComplete
+ *   snapshot            table::TableService::Impl::KeepSnapshot (modules/table/src/table_service.cpp)
+ *   learn               entry::TableState::OnPush (modules/entry/src/table_state.cpp)
  *
  * Guards that a macro removes:
  *   NO_BASE_CHECK    the fold accepts an edit whatever its base version is
--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -11,8 +11,13 @@
  *   fold_one       ledger::ApplyBatch, RecordFold (modules/ledger/src/fold.cpp, record_fold.cpp)
  *   append_step    ledger::BatchWriter::Write (modules/ledger/src/batch_writer.cpp)
  *   read_back      ledger::BatchWriter::ReadBack
- *   intent, dispatch, seal, respond   entry role (modules/entry)
- *   sidecar_run, sidecar_seal, sidecar_discard   sidecar role (modules/sidecar)
+ *   intent, dispatch  entry::CallRunner::TryDispatch, SendIntended (modules/entry/src/call_runner.cpp)
+ *   seal              entry::CallRunner::Ask, OnSealReply (modules/entry/src/call_recovery.cpp)
+ *   respond, acknowledge   entry::CallRunner::OnOutcomeFolded (modules/entry/src/call_results.cpp)
+ *   sidecar_run       sidecar::CallBook::Admit (modules/sidecar/src/call_book.cpp)
+ *   sidecar_seal      sidecar::CallBook::Seal
+ *   sidecar_discard   sidecar::CallBook::Ack; the connection generation: modules/transport
+ * modules/ledger/tests/ownership_property_test.cpp runs the same steps with the real functions.
  *
  * Guards that a macro removes:
  *   NO_READ_BACK           an append counts as accepted without reading back
