--- a/modules/bench/include/sycamore/bench/summary.h
+++ b/modules/bench/include/sycamore/bench/summary.h
@@ -23,7 +23,7 @@
 Percentile(std::vector<double> aValues, double aShare);
 
 // The results of a run as JSON: {"mix","label","seed","elapsed_s","accounts":[...],"total",
-// "engines"}. docs/operations.md describes the members.
+// "engines"}. bench/README.md describes the members.
 boost::json::object
 Summarize(const Mix& aMix,
           const RunTitle& aTitle,
--- a/modules/ctl/src/flags.cpp
+++ b/modules/ctl/src/flags.cpp
@@ -50,3 +50,7 @@
 DEFINE_double(duration_s, 0, "Time in which programs arrive; 0 takes that of the mix.");
 DEFINE_double(drain_s, 60, "Programs still running this long after the last arrival are cut off.");
 DEFINE_double(patience_s, 60, "A call is not sent again after this time.");
+DEFINE_double(settle_s,
+              3,
+              "Time between the last program and the last reading of the counters, in which the "
+              "system releases memory.");
--- a/modules/ctl/src/flags.h
+++ b/modules/ctl/src/flags.h
@@ -45,3 +45,4 @@
 DECLARE_double(duration_s);
 DECLARE_double(drain_s);
 DECLARE_double(patience_s);
+DECLARE_double(settle_s);
