Ask the next entry at once if one accepts no connection

Callers stand behind a load balancer, which skips dead entries.

The generator now asks the next entry without a pause until all have been asked, and counts such connections as "unreachable". A stream that is being continued stays with the request for its events meanwhile, in CallStream as well: a refused connection says nothing about the call. Posting again was safe, but needless.

The new client case fails with the rule removed.

--- a/modules/bench/include/sycamore/bench/run_record.h
+++ b/modules/bench/include/sycamore/bench/run_record.h
@@ -22,11 +22,12 @@
   uint64_t mSubAgents = 0;
   uint64_t mSubAgentsFailed = 0;
 
-  uint64_t mCalls = 0;                     // Model and tool calls, sub-agents included.
-  uint64_t mRefused = 0;                   // Answers that say "not run" with a retry allowed.
-  uint64_t mRetried = 0;                   // Requests sent again, reconnects included.
-  uint64_t mReconnected = 0;               // Broken event streams continued.
-  uint64_t mUnknown = 0;                   // Non-idempotent calls with unknown outcome.
+  uint64_t mCalls = 0;       // Model and tool calls, sub-agents included.
+  uint64_t mRefused = 0;     // Answers that say "not run" with a retry allowed.
+  uint64_t mUnreachable = 0; // Connections that no entry accepted; another entry is asked at once.
+  uint64_t mRetried = 0;     // Requests sent again, reconnects included.
+  uint64_t mReconnected = 0; // Broken event streams continued.
+  uint64_t mUnknown = 0;     // Non-idempotent calls with unknown outcome.
   std::map<std::string, uint64_t> mErrors; // Final failures by code.
 
   // Of programs done, except those ended by a limit. Milliseconds.
--- a/modules/bench/src/caller.cpp
+++ b/modules/bench/src/caller.cpp
@@ -139,25 +139,45 @@
 }
 
 void
-Caller::OnFailure(const RunningPtr& aRunning, const client::Failure& aFailure)
+Caller::Count(Running& aRunning, const client::Failure& aFailure)
 {
-  AccountRecord& record = mRecord.mAccounts[aRunning->mOperation.mAccount];
-  const bool notRun = aFailure.mRun == "not_run";
-  record.mRefused += notRun && aFailure.mRetryable ? 1 : 0;
+  AccountRecord& record = mRecord.mAccounts[aRunning.mOperation.mAccount];
+  const bool unreachable = aFailure.mStatus == 0 && aFailure.mRun == "not_run";
+  const bool refused = aFailure.mStatus != 0 && aFailure.mRun == "not_run" && aFailure.mRetryable;
+  aRunning.mUnreachable = unreachable ? aRunning.mUnreachable + 1 : 0;
+  record.mUnreachable += unreachable ? 1 : 0;
+  record.mRefused += refused ? 1 : 0;
   record.mUnknown += aFailure.mRun == "unknown" ? 1 : 0;
-  aRunning->mPause = std::clamp(2 * aRunning->mPause, kMinPause, kMaxPause);
-  const Millis jitter(
-    static_cast<int64_t>(base::RandomId() % static_cast<uint64_t>(aRunning->mPause.count())));
-  const Millis pause = std::max(aRunning->mPause + jitter, aFailure.mRetryAfter);
+}
+
+// As behind a load balancer, a dead entry costs no pause while others have not been asked.
+Millis
+Caller::NextPause(Running& aRunning, const client::Failure& aFailure) const
+{
+  if (aRunning.mUnreachable > 0 && aRunning.mUnreachable < mSettings.mEntries.size()) {
+    return Millis(0);
+  }
+  aRunning.mPause = std::clamp(2 * aRunning.mPause, kMinPause, kMaxPause);
+  const auto bound = static_cast<uint64_t>(aRunning.mPause.count());
+  const Millis jitter(static_cast<int64_t>(base::RandomId() % bound));
+  return std::max(aRunning.mPause + jitter, aFailure.mRetryAfter);
+}
+
+void
+Caller::OnFailure(const RunningPtr& aRunning, const client::Failure& aFailure)
+{
+  Count(*aRunning, aFailure);
+  const Millis pause = NextPause(*aRunning, aFailure);
   const auto now = base::Clock::now();
   if (!aFailure.mRetryable || now + pause > aRunning->mStarted + mSettings.mPatience) {
     aRunning->mResult.mFailure = aFailure;
     Finish(aRunning);
     return;
   }
+  AccountRecord& record = mRecord.mAccounts[aRunning->mOperation.mAccount];
   ++record.mRetried;
   const bool streamed = !aRunning->mOperation.mEventsTarget.empty();
-  aRunning->mPost = !streamed || notRun || aFailure.mCode == "call_not_found";
+  aRunning->mPost = !streamed || aFailure.mRun == "not_run" || aFailure.mCode == "call_not_found";
   record.mReconnected += aRunning->mPost ? 0 : 1;
   mLoop.At(now + pause, [this, aRunning] { Attempt(aRunning); });
 }
--- a/modules/bench/src/caller.h
+++ b/modules/bench/src/caller.h
@@ -59,6 +59,7 @@
     std::function<void(OperationResult)> mDone;
     base::TimePoint mStarted;
     base::Millis mPause{ 0 };
+    size_t mUnreachable = 0; // Entries in a row that accepted no connection.
     uint64_t mAttempt = 0;
     bool mPost = true;
     client::EventParser mParser;
@@ -75,6 +76,8 @@
   void OnEvent(Running& aRunning, const client::ServerEvent& aEvent);
   void OnResponse(const RunningPtr& aRunning, const http::ClientResponse& aResponse);
   void OnFailure(const RunningPtr& aRunning, const client::Failure& aFailure);
+  void Count(Running& aRunning, const client::Failure& aFailure);
+  base::Millis NextPause(Running& aRunning, const client::Failure& aFailure) const;
   void Finish(const RunningPtr& aRunning);
 
   EventLoop& mLoop;
--- a/modules/bench/src/compare.cpp
+++ b/modules/bench/src/compare.cpp
@@ -42,6 +42,7 @@
     add(fmt::format("{} programs {}", account, key), aRecord.at("programs").as_object().at(key));
   }
   add(account + " refused", aRecord.at("refused"));
+  add(account + " unreachable", aRecord.at("unreachable"));
   add(account + " retried", aRecord.at("retried"));
   return metrics;
 }
--- a/modules/bench/src/summary.cpp
+++ b/modules/bench/src/summary.cpp
@@ -52,6 +52,7 @@
     total.mSubAgentsFailed += record.mSubAgentsFailed;
     total.mCalls += record.mCalls;
     total.mRefused += record.mRefused;
+    total.mUnreachable += record.mUnreachable;
     total.mRetried += record.mRetried;
     total.mReconnected += record.mReconnected;
     total.mUnknown += record.mUnknown;
@@ -83,6 +84,7 @@
              { { "started", aRecord.mSubAgents }, { "failed", aRecord.mSubAgentsFailed } } },
            { "calls", aRecord.mCalls },
            { "refused", aRecord.mRefused },
+           { "unreachable", aRecord.mUnreachable },
            { "retried", aRecord.mRetried },
            { "reconnected", aRecord.mReconnected },
            { "unknown", aRecord.mUnknown },
--- a/modules/bench/tests/runner_test.cpp
+++ b/modules/bench/tests/runner_test.cpp
@@ -114,6 +114,21 @@
   BOOST_TEST(record.mLatency[0] >= 200);
 }
 
+// Guards against a dead entry that delays calls or counts as refusals of the system.
+BOOST_FIXTURE_TEST_CASE(RunnerWithDeadEntryAsksTheNextAtOnce, RunnerFixture)
+{
+  Plan({ PlannedModel{ "m", 1, 1, false }, PlannedModel{ "m", 1, 1, false } });
+  ScriptedEntry live(Work);
+  // Port 9 of loopback (discard) has no listener here.
+  mOptions.mEntries = { live.mEndpoint, { "127.0.0.1", 9 } };
+  const AccountRecord record = RunPlan(mMix, mPlan, mOptions).mAccounts[0];
+  BOOST_TEST(record.mDone == 1U);
+  BOOST_TEST(record.mRefused == 0U);
+  BOOST_TEST(record.mUnreachable > 0U);
+  BOOST_TEST_REQUIRE(record.mLatency.size() == 1U);
+  BOOST_TEST(record.mLatency[0] < 200);
+}
+
 // Guards against a call that runs twice because its stream broke.
 BOOST_FIXTURE_TEST_CASE(RunnerBrokenStreamIsContinued, RunnerFixture)
 {
--- a/modules/client/src/call_stream.cpp
+++ b/modules/client/src/call_stream.cpp
@@ -108,7 +108,11 @@
     if (!retry || base::Clock::now() + pause >= end) {
       return *failure;
     }
-    post = aBody && (unknownCall || failure->mRun == "not_run");
+    // An entry that accepts no connection tells nothing about the call.
+    const bool unreachable = failure->mStatus == 0 && failure->mRun == "not_run";
+    if (!unreachable) {
+      post = aBody && (unknownCall || failure->mRun == "not_run");
+    }
     std::this_thread::sleep_for(std::max(pause, failure->mRetryAfter));
     pause = std::min(2 * pause, kMaxPause);
     ++mReconnects;
--- a/modules/client/tests/call_stream_test.cpp
+++ b/modules/client/tests/call_stream_test.cpp
@@ -2,6 +2,7 @@
 
 #include "sycamore/client/call_stream.h"
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 
 namespace sycamore::client {
@@ -85,6 +86,26 @@
   BOOST_TEST(entry.Requests().size() == 3U);
 }
 
+// Guards against a call that is posted again because one entry on the way to its events is down.
+BOOST_FIXTURE_TEST_CASE(CallStreamBrokenStaysWithEventsPastDeadEntry, CallStreamFixture)
+{
+  std::atomic<int> posts = 0;
+  const auto script = [&posts](http::Server& aServer, const http::Request& aRequest, int) {
+    if (aRequest.mMethod == "POST") {
+      ++posts;
+      // The answer is lost: the client gives up waiting and turns to the next entry.
+      return;
+    }
+    aServer.Send(Events(aRequest, std::string(kToken1) + kDone, true));
+  };
+  ScriptedEntry first(script);
+  // Port 9 of loopback (discard) has no listener here.
+  Entries entries({ first.mEndpoint, { "127.0.0.1", 9 } }, Millis(300));
+  const auto result = CallStream(entries, "1-2-3", 7, Seconds(30)).Run("{}", "", mHandlers);
+  BOOST_TEST(std::get<std::string>(result) == "{\"seq\":7}");
+  BOOST_TEST(posts.load() == 1);
+}
+
 // Guards against a refusal that is retried until the limit, or reported without its reason.
 BOOST_FIXTURE_TEST_CASE(CallStreamRefusedIsReportedAtOnce, CallStreamFixture)
 {
