--- a/modules/entry/src/partition_map.cpp
+++ b/modules/entry/src/partition_map.cpp
@@ -349,7 +349,7 @@
   release.epoch = partition.mEpoch;
   partition.mPhase = Phase::Releasing;
   const bool queued =
-    mCommits.Append(aPartition, wire::MakeEntry(std::move(release)), [](CommitResult, uint64_t) {});
+    mCommits.Append(aPartition, wire::MakeEntry(release), [](CommitResult, uint64_t) {});
   if (!queued) {
     partition.mPhase = Phase::Owned;
   }
