Close the listening socket when the HTTP server stops

Cause: Server::Stop ended the thread but left the socket open, so that clients connected and waited for their time-out until the object was destroyed. Conclusion: the socket is closed with the thread; http tests pass.

--- a/modules/http/src/server.cpp
+++ b/modules/http/src/server.cpp
@@ -96,6 +96,8 @@
     }
     boost::asio::post(mContext, [this] { mContext.stop(); });
     mThread.join();
+    error_code ignored;
+    mAcceptor.close(ignored);
     for (const auto& [id, session] : mOpen) {
       session->Abort();
     }
