--- a/tools/system.sh
+++ b/tools/system.sh
@@ -10,6 +10,8 @@
 pids=()
 daemon_pids=()
 instances=()
+declare -A pid_of # By name of the process.
+
 
 # The daemons stop first, since they release their partitions in the log.
 stop_all() {
@@ -25,6 +27,7 @@
   shift
   "$@" >"$dir/$name.out" 2>"$dir/$name.log" &
   pids+=($!)
+  pid_of[$name]=$!
 }
 
 # wait_for WHAT COMMAND...: repeats COMMAND until it succeeds, for 20 s at most.
