Make a new owner's checkpoint due at once

The age of an earlier owner's checkpoint is unknown. Counted from the takeover, owners that change more often than a quarter of the retention period would never write one, and after lost history the programs created before the first checkpoint would be lost again.

--- a/modules/ledger/include/sycamore/ledger/retention.h
+++ b/modules/ledger/include/sycamore/ledger/retention.h
@@ -22,7 +22,9 @@
 {
   uint64_t mBatches = 0;
   uint64_t mBytes = 0;
-  base::Millis mAge{ 0 }; // Since it was made, or since the partition was opened.
+  base::Millis mAge{ 0 }; // Since this process made it.
+  // False until this process has made one: it cannot tell how old that of an earlier owner is.
+  bool mAgeKnown = true;
 };
 
 // A turn whose text must be appended again.
@@ -33,7 +35,10 @@
 };
 
 // Whether the owner must write a checkpoint: after a quarter of the retention period, so that the
-// one before it is still retained if this one is delayed, or after enough batches or bytes.
+// one before it is still retained if this one is delayed, or after enough batches or bytes. A new
+// owner must write one at once. Otherwise owners that change more often than a quarter of the
+// retention period would never write one; and after PartitionOpened::mHistoryLost, programs created
+// before the first checkpoint would be lost again with the next owner.
 bool
 CheckpointDue(const RetentionSettings& aSettings, const SinceCheckpoint& aSince);
 
--- a/modules/ledger/src/retention.cpp
+++ b/modules/ledger/src/retention.cpp
@@ -7,7 +7,7 @@
 bool
 CheckpointDue(const RetentionSettings& aSettings, const SinceCheckpoint& aSince)
 {
-  return aSince.mAge >= aSettings.mRetention / 4 ||
+  return !aSince.mAgeKnown || aSince.mAge >= aSettings.mRetention / 4 ||
          aSince.mBatches >= aSettings.mCheckpointBatches ||
          aSince.mBytes >= aSettings.mCheckpointBytes;
 }
--- a/modules/ledger/tests/ledger_open_test.cpp
+++ b/modules/ledger/tests/ledger_open_test.cpp
@@ -87,6 +87,26 @@
   BOOST_TEST((ApplyBatch(mState, 10, ClaimBatch(3, 22)) == Verdict::Applied));
 }
 
+// Guards R2 after records were lost: the first checkpoint of the new owner is found although no
+// batch names it yet, so that its programs survive the next takeover.
+BOOST_FIXTURE_TEST_CASE(LedgerOpenAfterLostHistoryFindsCheckpointThatNoBatchNames,
+                        LedgerOpenFixture)
+{
+  mLog.Truncate(kStream, 8);
+  Owner owner(mLog, 22);
+  BOOST_TEST(owner.Open().mHistoryLost);
+  BOOST_REQUIRE((owner.Claim() == Verdict::Applied));
+  const auto made = owner.Append(wire::MakeEntry(MakeCheckpoint(owner.State())));
+  const ProgramId created{ 3, 10, 7 };
+  const auto ticket = owner.Append(Created(created, 100, 10));
+  BOOST_REQUIRE((owner.Await(made.value()) == Verdict::Applied));
+  BOOST_REQUIRE((owner.Await(ticket.value()) == Verdict::Applied));
+  Owner next(mLog, 33);
+  const PartitionOpened opened = next.Open();
+  BOOST_TEST(!opened.mHistoryLost);
+  BOOST_TEST((*opened.mState == owner.State()));
+}
+
 // Guards against an epoch that starts again when retention dropped every record.
 BOOST_FIXTURE_TEST_CASE(LedgerOpenOfEmptiedStreamExceedsAllEpochs, LedgerOpenFixture)
 {
--- a/modules/ledger/tests/retention_test.cpp
+++ b/modules/ledger/tests/retention_test.cpp
@@ -47,6 +47,12 @@
   BOOST_TEST(CheckpointDue(mSettings, { 1, mSettings.mCheckpointBytes, Millis(1) }));
 }
 
+// Guards against owners that change so often that none of them ever writes a checkpoint.
+BOOST_FIXTURE_TEST_CASE(CheckpointDueAtOnceForNewOwner, RetentionFixture)
+{
+  BOOST_TEST(CheckpointDue(mSettings, { 0, 0, Millis(0), false }));
+}
+
 // Guards against ended programs that stay in checkpoints for ever, or that vanish while a caller
 // may still ask for their calls.
 BOOST_FIXTURE_TEST_CASE(TrimEndedAfterRetentionRemovesProgramAndMarksItExpired, RetentionFixture)
