--- a/modules/entry/src/delivery.cpp
+++ b/modules/entry/src/delivery.cpp
@@ -15,7 +15,7 @@
 Delivery::Attach(Call& aCall, Waiter aWaiter, const std::string& aLastEventId)
 {
   aWaiter.mNext = aCall.mEvents.ReplayFrom(aLastEventId, aWaiter.mReset);
-  aCall.mWaiters.push_back(std::move(aWaiter));
+  aCall.mWaiters.push_back(aWaiter);
   Waiter& waiter = aCall.mWaiters.back();
   if (waiter.mStream && waiter.mNext < aCall.mEvents.Size()) {
     Flush(aCall, waiter, false);
--- a/modules/entry/tests/sim_sidecar.cpp
+++ b/modules/entry/tests/sim_sidecar.cpp
@@ -76,9 +76,9 @@
     }
     return;
   }
-  if (!known && aDispatch.sidecar_incarnation != mIncarnation) {
-    Refuse(aEntry, aDispatch);
-  } else if (found != mRecords.end() && found->second.mState == wire::CallState::Sealed) {
+  const bool fenced = !known && aDispatch.sidecar_incarnation != mIncarnation;
+  const bool sealed = found != mRecords.end() && found->second.mState == wire::CallState::Sealed;
+  if (fenced || sealed) {
     Refuse(aEntry, aDispatch);
   } else if (!known) {
     Start(aEntry, aDispatch);
@@ -189,7 +189,7 @@
   found->second.mEntry = aEntry;
   reply.state = found->second.mState;
   Reply(aEntry, wire::MakeFrame(std::move(reply)));
-  if (reply.state == wire::CallState::Finished) {
+  if (found->second.mState == wire::CallState::Finished) {
     Reply(aEntry, wire::MakeFrame(wire::CallOutcomeT(found->second.mOutcome)));
   }
 }
