Hold a program's prefix only where its next call is expected

Cause: an owner renewed the leases of all copies of a program's prefix; copies left behind by a move to another target were kept until the end of the program.

Ruled out: releasing the old copy by a Release frame, which tells a sidecar that the program has ended, so that it frees the prefix of a later call at once.

Conclusion: prefixes elsewhere expire with their lease.

--- a/modules/entry/src/program_memory.cpp
+++ b/modules/entry/src/program_memory.cpp
@@ -117,12 +117,15 @@
     if (!IsWorthHolding(aId, aRuntime)) {
       return;
     }
-    for (const std::string& sidecar : mRouter.Holders(aId)) {
-      wire::HoldT& hold = holds[sidecar];
-      hold.programs.push_back(ToFrame(aId));
-      if (hold.programs.size() >= kHoldsPerFrame) {
-        send(sidecar, hold);
-      }
+    // Shorter prefixes elsewhere are left to expire with their lease.
+    const std::string sidecar = mRouter.BestHolder(aId);
+    if (sidecar.empty()) {
+      return;
+    }
+    wire::HoldT& hold = holds[sidecar];
+    hold.programs.push_back(ToFrame(aId));
+    if (hold.programs.size() >= kHoldsPerFrame) {
+      send(sidecar, hold);
     }
   });
   for (auto& [sidecar, hold] : holds) {
--- a/modules/entry/src/router.cpp
+++ b/modules/entry/src/router.cpp
@@ -1,5 +1,7 @@
 #include "router.h"
 
+#include <algorithm>
+
 namespace sycamore::entry {
 
 Router::Router(Context& aContext, Peers& aPeers)
@@ -150,6 +152,21 @@
   return sidecars;
 }
 
+std::string
+Router::BestHolder(const base::ProgramId& aProgram) const
+{
+  const auto prefixes = mPrefixes.find(aProgram);
+  if (prefixes == mPrefixes.end() || prefixes->second.empty()) {
+    return "";
+  }
+  const auto best = std::max_element(
+    prefixes->second.begin(), prefixes->second.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second < aRight.second;
+    });
+  const auto sidecar = mSidecarOf.find(best->first);
+  return sidecar == mSidecarOf.end() ? "" : sidecar->second;
+}
+
 uint64_t
 Router::HeldTokens(const base::ProgramId& aProgram) const
 {
--- a/modules/entry/src/router.h
+++ b/modules/entry/src/router.h
@@ -56,6 +56,10 @@
   // Sidecars whose targets hold a prefix of aProgram.
   std::set<std::string> Holders(const base::ProgramId& aProgram) const;
 
+  // The sidecar whose target holds the longest prefix of aProgram, where its next call is expected;
+  // empty if none is known.
+  std::string BestHolder(const base::ProgramId& aProgram) const;
+
   // Tokens held for aProgram, as far as known, in all targets.
   uint64_t HeldTokens(const base::ProgramId& aProgram) const;
 
