--- a/modules/base/include/sycamore/base/error_kind.h
+++ b/modules/base/include/sycamore/base/error_kind.h
@@ -59,8 +59,8 @@
   NotRun,      // The call did not run and will not run.
   Uncommitted, // The call ran or may have run, now or by an earlier request; the caller may send
                // the same request again, and receives the recorded outcome if there is one.
-  Unknown,  // A non-idempotent call may have run; it will not be repeated.
-  NotACall, // The request was not a call.
+  Unknown,     // A non-idempotent call may have run; it will not be repeated.
+  NotACall,    // The request was not a call.
 };
 
 // One row of the table from error kind to answer.
--- a/modules/system/tests/streams_test.cpp
+++ b/modules/system/tests/streams_test.cpp
@@ -68,7 +68,7 @@
 
   // Reads a stream into aReader until it ends, breaks, or aWanted returns false.
   static void Read(const http::Endpoint& aEntry,
-                   http::ClientRequest aRequest,
+                   const http::ClientRequest& aRequest,
                    EventReader& aReader,
                    const std::function<bool()>& aWanted)
   {
