Order calls by the expected rest of their programs

Ruled out: asking callers for sizes, since the shape of a program is not known in advance.

The test of default settings expects the new default.

--- a/modules/entry/src/call_runner.cpp
+++ b/modules/entry/src/call_runner.cpp
@@ -142,6 +142,7 @@
   dispatch.account = program.mAccount;
   dispatch.weight = static_cast<float>(row ? row->mContract.mWeight : 1.0);
   dispatch.attained_tokens = program.mSpentTokens;
+  dispatch.remaining_tokens = mParts.mPrograms.ExpectedRest(program);
   const Route& route = aCall.mAttempt.mRoute;
   if (!mParts.mContext.mEffects.SendFrame(route.mLink, wire::MakeFrame(std::move(dispatch)))) {
     return false;
--- a/modules/entry/src/program_book.cpp
+++ b/modules/entry/src/program_book.cpp
@@ -44,6 +44,20 @@
   return runtime;
 }
 
+void
+ProgramBook::NoteSize(const ledger::ProgramState& aProgram)
+{
+  mSizes[{ aProgram.mAccount, aProgram.mParent.has_value() }].Add(aProgram.mSpentTokens);
+}
+
+uint64_t
+ProgramBook::ExpectedRest(const ledger::ProgramState& aProgram) const
+{
+  const auto found = mSizes.find({ aProgram.mAccount, aProgram.mParent.has_value() });
+  return found == mSizes.end() ? aProgram.mSpentTokens
+                               : found->second.Remaining(aProgram.mSpentTokens);
+}
+
 ProgramRuntime*
 ProgramBook::Find(const base::ProgramId& aId)
 {
--- a/modules/entry/src/program_book.h
+++ b/modules/entry/src/program_book.h
@@ -2,11 +2,14 @@
 
 #include "context.h"
 #include "sycamore/ledger/fold.h"
+#include "sycamore/policy/size_estimate.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
+#include <string>
+#include <utility>
 
 namespace sycamore::entry {
 
@@ -35,6 +38,13 @@
   void OnLost(uint32_t aPartition);
 
   ProgramRuntime& Add(const base::ProgramId& aId);
+  // Notes the size of a program that ends, for ExpectedRest of others.
+  void NoteSize(const ledger::ProgramState& aProgram);
+
+  // Tokens that the program is expected to need from now on, by the programs of its account that
+  // ended here; sub-agents apart.
+  uint64_t ExpectedRest(const ledger::ProgramState& aProgram) const;
+
   // Null if the program is not live here.
   ProgramRuntime* Find(const base::ProgramId& aId);
   void Remove(const base::ProgramId& aId);
@@ -65,6 +75,9 @@
   Context& mContext;
   std::map<base::ProgramId, ProgramRuntime> mPrograms;
   std::map<base::ProgramId, uint64_t> mPending; // By root.
+  // By account and whether the program is a sub-agent. Accounts come from the table, which bounds
+  // their number.
+  std::map<std::pair<std::string, bool>, policy::SizeEstimate> mSizes;
 };
 
 }
--- a/modules/entry/src/program_service.cpp
+++ b/modules/entry/src/program_service.cpp
@@ -317,6 +317,7 @@
 {
   if (mParts.mPrograms.Find(aId) != nullptr) {
     ++mParts.mContext.mStats.mProgramsEnded;
+    NoteSize(aId);
     base::Log(LogEvent::ProgramEnded, "{}", base::ToString(aId));
   }
   mParts.mPrograms.Remove(aId);
@@ -327,6 +328,19 @@
   }
 }
 
+void
+ProgramService::NoteSize(const base::ProgramId& aId)
+{
+  const ledger::PartitionState* state = mParts.mPartitions.Owned(aId.mPartition);
+  if (state == nullptr) {
+    return;
+  }
+  const auto found = state->mPrograms.find(aId);
+  if (found != state->mPrograms.end()) {
+    mParts.mPrograms.NoteSize(found->second);
+  }
+}
+
 void
 ProgramService::AnswerEnded(const ReplyTo& aReply, const base::ProgramId& aId)
 {
--- a/modules/entry/src/program_service.h
+++ b/modules/entry/src/program_service.h
@@ -55,6 +55,7 @@
                  const std::string& aReason,
                  std::optional<ReplyTo> aReply);
   void OnEnded(const base::ProgramId& aId, std::optional<ReplyTo> aReply);
+  void NoteSize(const base::ProgramId& aId);
   void CheckLimits(const base::ProgramId& aId, const ProgramRuntime& aRuntime);
   void AnswerEnded(const ReplyTo& aReply, const base::ProgramId& aId);
 
--- a/modules/policy/include/sycamore/policy/ordering.h
+++ b/modules/policy/include/sycamore/policy/ordering.h
@@ -14,18 +14,18 @@
 {
   uint64_t mArrival = 0; // Increases with each arrival; unique.
   base::TimePoint mQueuedAt;
-  double mWeight = 1;           // Of the account; not positive counts as 1.
-  uint64_t mAttainedTokens = 0; // Service of the program so far.
-  bool mPrefixLocal = false;    // The target holds a prefix of the program.
+  double mWeight = 1;          // Of the account; not positive counts as 1.
+  uint64_t mServiceTokens = 0; // Of the program: so far, or expected from now on.
+  bool mPrefixLocal = false;   // The target holds a prefix of the program.
 };
 
 struct OrderingRules
 {
   bool mFifo = false; // Baseline: by arrival only.
-  // Attained service counts in doublings of this many tokens, so that the order does not depend on
+  // Service counts in doublings of this many tokens, so that the order does not depend on
   // the size of a site's programs.
   double mFirstLevelTokens = 500;
-  // One doubling of attained service outweighs this much waiting time.
+  // One doubling of service outweighs this much waiting time.
   base::Millis mLevelTime{ 4000 };
   // Further doublings count no more. With the level time it bounds the time that later arrivals can
   // overtake a call: 40 s.
--- a/modules/policy/src/ordering.cpp
+++ b/modules/policy/src/ordering.cpp
@@ -10,12 +10,12 @@
 using base::Millis;
 using base::TimePoint;
 
-// Doublings of the attained service, scaled by the account's weight.
+// Doublings of the service, scaled by the account's weight.
 static double
 LevelOf(const WaitingCall& aCall, const OrderingRules& aRules)
 {
   const double weight = aCall.mWeight > 0 ? aCall.mWeight : 1;
-  const double service = static_cast<double>(aCall.mAttainedTokens) / weight;
+  const double service = static_cast<double>(aCall.mServiceTokens) / weight;
   return std::min(std::log2(1 + service / aRules.mFirstLevelTokens), aRules.mMaxLevels);
 }
 
--- a/modules/policy/tests/ordering_test.cpp
+++ b/modules/policy/tests/ordering_test.cpp
@@ -19,7 +19,7 @@
     WaitingCall call;
     call.mArrival = aArrival;
     call.mQueuedAt = mNow;
-    call.mAttainedTokens = aAttained;
+    call.mServiceTokens = aAttained;
     return call;
   }
 };
--- a/modules/settings/include/sycamore/settings/settings.h
+++ b/modules/settings/include/sycamore/settings/settings.h
@@ -56,8 +56,8 @@
   size_t mHistoryCacheBytes = size_t{ 16 } << 20;
   size_t mMaxPendingBytes = size_t{ 8 } << 20;
   size_t mMaxBodyBytes = size_t{ 4 } << 20;
-  std::string mOrdering = "attained"; // Sidecar: "attained" or "fifo" (baseline).
-  std::string mRouting = "cache";     // Entry: "cache" or "load" (baseline).
+  std::string mOrdering = "remaining"; // Sidecar: "remaining", "attained" or "fifo" (baseline).
+  std::string mRouting = "cache";      // Entry: "cache" or "load" (baseline).
   std::string mLogLevel = "info";
 };
 
--- a/modules/settings/src/parse.cpp
+++ b/modules/settings/src/parse.cpp
@@ -16,7 +16,7 @@
 static constexpr Millis kHour{ 60 * kMinute };
 static constexpr Millis kDay{ 24 * kHour };
 
-static constexpr std::string_view kOrderings[] = { "attained", "fifo" };
+static constexpr std::string_view kOrderings[] = { "remaining", "attained", "fifo" };
 static constexpr std::string_view kRoutings[] = { "cache", "load" };
 static constexpr std::string_view kLogLevels[] = { "debug", "info", "warning", "error" };
 
--- a/modules/settings/tests/parse_test.cpp
+++ b/modules/settings/tests/parse_test.cpp
@@ -62,7 +62,7 @@
   BOOST_TEST(settings.mLog->mPort == 7000);
   BOOST_TEST(settings.mPartitions == defaults.mPartitions);
   BOOST_TEST((settings.mRetention == defaults.mRetention));
-  BOOST_TEST(settings.mOrdering == "attained");
+  BOOST_TEST(settings.mOrdering == "remaining");
 }
 
 // Guards against keys that are accepted and then not used.
--- a/modules/sidecar/src/call_runner.cpp
+++ b/modules/sidecar/src/call_runner.cpp
@@ -272,7 +272,9 @@
   waiting.mArrival = aNumber;
   waiting.mQueuedAt = aNow;
   waiting.mWeight = static_cast<double>(call.mDispatch->weight);
-  waiting.mAttainedTokens = call.mDispatch->attained_tokens;
+  waiting.mServiceTokens = mState.mSettings.mOrdering == "attained"
+                             ? call.mDispatch->attained_tokens
+                             : call.mDispatch->remaining_tokens;
   waiting.mPrefixLocal = mHooks.mHasPrefix && mHooks.mHasPrefix(call.mTarget, call.mKey.mProgram);
   queue.mWaiting.push_back(waiting);
   queue.mCalls.push_back(aNumber);
