--- a/modules/system/tests/system_fixture.cpp
+++ b/modules/system/tests/system_fixture.cpp
@@ -162,12 +162,13 @@
 uint64_t
 SystemFixture::RunsOf(const std::string& aProgram, const std::string& aKey) const
 {
+  const std::string name = fmt::format("{}/{}", aProgram, aKey);
   uint64_t runs = 0;
   for (size_t i = mOptions.mEngineSidecars; i < mCluster->Sidecars(); ++i) {
     for (size_t target = 0; target < mOptions.mTargetsPerSidecar; ++target) {
       const auto stats = testbed::Cluster::Stats(mCluster->Target(i, target));
       const auto& keys = stats.at("keys").as_object();
-      if (const auto* count = keys.if_contains(aProgram + "/" + aKey)) {
+      if (const auto* count = keys.if_contains(name)) {
         runs += count->to_number<uint64_t>();
       }
     }
