--- a/modules/policy/src/routing.cpp
+++ b/modules/policy/src/routing.cpp
@@ -36,7 +36,10 @@
   const auto missing = static_cast<double>(MissingTokens(aReplica, aRequest));
   const double link = 2 * std::chrono::duration<double, std::milli>(aReplica.mLinkDelay).count();
   const double bytes = aReplica.mCostPerMegabyte * static_cast<double>(aRequest.mBytes) / 1e6;
-  return backlog / aSpeed.mDecodeTokensPerMs + missing / aSpeed.mPrefillTokensPerMs + link + bytes;
+  // Computing the prompt again delays not only this call but each one that waits at the replica.
+  const double delayed = 1.0 + aReplica.mQueued + aReplica.mSentCalls;
+  const double prefill = delayed * missing / aSpeed.mPrefillTokensPerMs;
+  return backlog / aSpeed.mDecodeTokensPerMs + prefill + link + bytes;
 }
 
 template<typename Score>
