Await the age limit of the table by the readiness answer

Ruled out: a fault of the entry; a fresh call after the limit is refused. Conclusion: the check is as strict as before.

--- a/modules/system/tests/config_test.cpp
+++ b/modules/system/tests/config_test.cpp
@@ -127,16 +127,17 @@
   const std::string program = CreateProgram();
   BOOST_REQUIRE(InjectFault(mCluster->Log(), { { "kind", "refuse" }, { "for_ms", 60000 } }));
   Caller caller = MakeCaller();
-  std::optional<CallAnswer> answer;
-  BOOST_TEST(WaitUntil(
+  // A call that is sent before the limit stays in progress until its commit, so the limit is
+  // awaited by the readiness answer.
+  BOOST_REQUIRE(WaitUntil(
     [&] {
-      auto body = ToolBody(1, program, "");
-      body["deadline_ms"] = 500;
-      answer = caller.Send(0, "POST", CallsPath(program), body);
-      return answer && answer->Code() == "config_stale";
+      const auto ready = caller.Send(0, "GET", "/readyz");
+      return ready && ready->Code() == "config_stale";
     },
     base::Seconds(20)));
+  const auto answer = caller.Send(0, "POST", CallsPath(program), ToolBody(1, program, ""));
   BOOST_REQUIRE(answer);
+  BOOST_TEST(answer->Code() == "config_stale");
   BOOST_TEST(answer->Run() == "not_run");
 }
 
