Wait in the failure tests by the testbed's WaitUntil

Cause: system_fixture.cpp and load.cpp wrote the polling loop of testbed::WaitUntil again, three times in all.

Ruled out: the same change in the thread tests of entry and sidecar, which do not depend on the testbed module.

Conditions, limits and assertions are unchanged.

Conclusion: one loop serves all failure tests.

--- a/modules/system/tests/load.cpp
+++ b/modules/system/tests/load.cpp
@@ -1,5 +1,7 @@
 #include "load.h"
 
+#include "sycamore/testbed/wait.h"
+
 #include <fmt/format.h>
 
 namespace sycamore::system {
@@ -7,8 +9,6 @@
 // Longest time that one call may take with all its tries, outages included.
 static constexpr base::Millis kCallLimit{ 90000 };
 
-static constexpr base::Millis kPoll{ 10 };
-
 static constexpr uint64_t kBudget = 100000;
 
 Load::Load(std::vector<http::Endpoint> aEntries, size_t aPrograms, uint32_t aCalls)
@@ -36,21 +36,13 @@
 bool
 Load::WaitAnswered(size_t aCount, base::Millis aLimit) const
 {
-  const base::TimePoint end = base::Clock::now() + aLimit;
-  while (mAnswered < aCount && base::Clock::now() < end) {
-    std::this_thread::sleep_for(kPoll);
-  }
-  return mAnswered >= aCount;
+  return testbed::WaitUntil(aLimit, [&] { return mAnswered >= aCount; });
 }
 
 bool
 Load::Finish(base::Millis aLimit)
 {
-  const base::TimePoint end = base::Clock::now() + aLimit;
-  while (mRunning > 0 && base::Clock::now() < end) {
-    std::this_thread::sleep_for(kPoll);
-  }
-  const bool finished = mRunning == 0;
+  const bool finished = testbed::WaitUntil(aLimit, [this] { return mRunning == 0; });
   mStop = true;
   for (auto& thread : mThreads) {
     thread.join();
--- a/modules/system/tests/system_fixture.cpp
+++ b/modules/system/tests/system_fixture.cpp
@@ -1,12 +1,12 @@
 #include "system_fixture.h"
 
+#include "sycamore/testbed/wait.h"
+
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 
 namespace sycamore::system {
 
-static constexpr base::Millis kPoll{ 20 };
-
 void
 SystemFixture::Start(testbed::ClusterOptions aOptions)
 {
@@ -51,14 +51,7 @@
 bool
 SystemFixture::WaitUntil(const std::function<bool()>& aCondition, base::Millis aLimit)
 {
-  const base::TimePoint end = base::Clock::now() + aLimit;
-  while (!aCondition()) {
-    if (base::Clock::now() >= end) {
-      return false;
-    }
-    std::this_thread::sleep_for(kPoll);
-  }
-  return true;
+  return testbed::WaitUntil(aLimit, aCondition);
 }
 
 bool
