--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -21,6 +21,9 @@
 # tests/*.cpp, registered with CTest under NAME. Label "concurrency" selects the tests that also run
 # under the thread sanitizer; label "failure" the tests that start processes.
 function(sycamore_tests name)
+  if(NOT SYCAMORE_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "TIMEOUT" "DEPS;LABELS;SOURCES" ${ARGN})
   if(ARG_SOURCES)
     set(sources ${ARG_SOURCES})
--- a/modules/daemon/src/service.cpp
+++ b/modules/daemon/src/service.cpp
@@ -1,8 +1,10 @@
 #include "sycamore/daemon/service.h"
 
+#include "sycamore/adapter/gateway_adapters.h"
 #include "sycamore/base/log.h"
 #include "sycamore/base/random.h"
 #include "sycamore/entry/entry.h"
+#include "sycamore/gateway/gateway.h"
 #include "sycamore/platform/http_log_client.h"
 #include "sycamore/platform/instance_list_client.h"
 #include "sycamore/sidecar/sidecar.h"
@@ -84,12 +86,47 @@
   sidecar::Sidecar mSidecar;
 };
 
+class GatewayService : public Service
+{
+public:
+  explicit GatewayService(const settings::Settings& aSettings)
+    : mSettings(aSettings)
+    , mGateway(aSettings, adapter::MakeGatewayAdapters(*aSettings.mStore))
+  {
+  }
+
+  base::Result<base::Unit> Start() override
+  {
+    auto started = mGateway.Start();
+    if (base::IsOk(started)) {
+      base::Log(base::LogEvent::ProcessStarted,
+                "role=gateway http={} readiness={} store={} region={} domain={}",
+                ToString(mSettings.mHttp),
+                ToString(*mSettings.mReadiness),
+                ToString(*mSettings.mStore),
+                mSettings.mRegion,
+                mSettings.mDomain);
+    }
+    return started;
+  }
+  void BeginDrain() override { mGateway.BeginDrain(); }
+  bool Drained() override { return mGateway.Drained(); }
+  void Stop() override { mGateway.Stop(); }
+
+private:
+  const settings::Settings mSettings;
+  gateway::Gateway mGateway;
+};
+
 std::unique_ptr<Service>
 MakeService(const settings::Settings& aSettings)
 {
   if (aSettings.mRole == settings::Role::Entry) {
     return std::make_unique<EntryService>(aSettings);
   }
+  if (aSettings.mRole == settings::Role::Gateway) {
+    return std::make_unique<GatewayService>(aSettings);
+  }
   return std::make_unique<SidecarService>(aSettings);
 }
 
--- /dev/null
+++ b/modules/gateway/include/sycamore/gateway/call_head.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "sycamore/base/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace sycamore::gateway {
+
+// What the headers of a caller's request say of the call.
+struct CallHead
+{
+  std::string mAttempt; // Id of this attempt; empty if missing.
+  std::optional<base::Millis> mDeadline;
+  std::string mProgram;
+  std::optional<base::Millis> mProgramDeadline; // Time left until the whole program should end.
+  std::optional<std::string> mPreviousTurn;     // Attempt of the turn that this one continues.
+  std::optional<uint64_t> mBudgetTokens;        // Of the whole program.
+  uint64_t mPromptTokens = 0;
+  uint64_t mMaxOutputTokens = 0;
+  bool mMalformed = false; // A header of the call cannot be read.
+};
+
+}
--- /dev/null
+++ b/modules/gateway/include/sycamore/gateway/edge.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "sycamore/base/clock.h"
+#include "sycamore/gateway/call_head.h"
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sycamore::gateway {
+
+// What the gateway adds to a call that it sends to a replica.
+struct ReplicaCall
+{
+  std::string mReplica; // The only replica that may run it.
+  base::Millis mTimeLeft{ 0 };
+  std::optional<uint32_t> mPriority; // 0 is the most urgent of 10.
+};
+
+// Load that a replica told with an answer.
+struct ReportedLoad
+{
+  uint32_t mRunning = 0;
+  uint32_t mWaiting = 0;
+  uint32_t mSlots = 0;
+};
+
+// What the headers of a replica's answer say.
+struct AnswerHead
+{
+  std::string mAttempt;  // Attempt that the answer belongs to; empty if not told.
+  bool mSigned = false;  // Carries the replica's signature.
+  bool mNotRun = false;  // States that the replica did not run the request.
+  bool mEncoded = false; // The body is not as the replica made it.
+  std::optional<ReportedLoad> mLoad;
+  std::optional<base::Millis> mIdleTimeout; // After which the replica closes the connection.
+};
+
+// Names and formats of the protocol that callers and replicas speak. Implemented by the platform's
+// adapter.
+class Edge
+{
+public:
+  using Fields = boost::beast::http::fields;
+
+  virtual ~Edge() = default;
+
+  virtual CallHead DecodeCall(const Fields& aFields) const = 0;
+
+  // Removes what only the system may set from aFields, and adds aCall.
+  virtual void PrepareForReplica(Fields& aFields, const ReplicaCall& aCall) const = 0;
+
+  virtual AnswerHead DecodeAnswer(const boost::beast::http::response_header<>& aHeader) const = 0;
+
+  // Path at which the balancer asks whether the process takes new connections.
+  virtual std::string_view ReadinessPath() const = 0;
+};
+
+}
--- /dev/null
+++ b/modules/gateway/include/sycamore/gateway/gateway.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "sycamore/base/result.h"
+#include "sycamore/gateway/edge.h"
+#include "sycamore/gateway/log_store.h"
+#include "sycamore/gateway/platform_codec.h"
+#include "sycamore/settings/settings.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <memory>
+
+namespace sycamore::gateway {
+
+// What connects the gateway to the platform.
+struct GatewayAdapters
+{
+  std::shared_ptr<const Edge> mEdge;
+  std::shared_ptr<const PlatformCodec> mCodec;
+  // Makes the client of the log on the gateway's event loop.
+  std::function<std::unique_ptr<LogStore>(const boost::asio::any_io_executor&)> mMakeLogStore;
+};
+
+// The gateway role: takes requests from callers, keeps the programs' history and budgets in the
+// log, and sends the calls to replicas. Runs an event loop on a thread of its own.
+class Gateway
+{
+public:
+  Gateway(const settings::Settings& aSettings, GatewayAdapters aAdapters);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  // Binds the addresses and starts to serve. InvalidSettings if one cannot be bound.
+  base::Result<base::Unit> Start();
+
+  // Tells the balancer to send no new connections; callers are told to close theirs.
+  void BeginDrain();
+
+  // Whether the balancer has had time to notice and no call is open.
+  bool Drained() const;
+
+  // Closes everything and joins the thread. Idempotent.
+  void Stop();
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+}
--- /dev/null
+++ b/modules/gateway/include/sycamore/gateway/log_store.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "sycamore/base/clock.h"
+#include "sycamore/base/result.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sycamore::gateway {
+
+// A stream of the platform's log.
+enum class StreamName : uint8_t
+{
+  Configuration, // Keyed; written by operators.
+  Replicas,      // Keyed by replica id; written by the replicas.
+  Programs,      // Budgets and history; written by the gateways.
+  Members,       // Keyed by instance; written by the gateways.
+};
+
+// A record of a stream.
+struct StreamRecord
+{
+  uint64_t mOffset = 0;
+  std::string mKey;                  // Of keyed streams.
+  std::optional<std::string> mValue; // Nothing: the key was dropped.
+};
+
+// Records that follow each other in a stream.
+struct StreamPage
+{
+  uint64_t mEnd = 0;     // Offset that the next record of the stream will get.
+  uint64_t mNext = 0;    // Offset after the last record read; where the next read starts.
+  bool mExpired = false; // Records between the start of the read and mNext are no longer kept.
+  std::vector<StreamRecord> mRecords;
+};
+
+// The newest record of each key of a keyed stream.
+struct StreamSnapshot
+{
+  uint64_t mEnd = 0; // Where a read for later changes starts.
+  std::vector<StreamRecord> mRecords;
+};
+
+// The log as the gateway uses it. Calls may run concurrently on one event loop. Errors:
+// LogUnavailable if the call certainly had no effect, OutcomeUnknown if it may have one, now or
+// later.
+class LogStore
+{
+public:
+  template<typename T>
+  using Async = boost::asio::awaitable<base::Result<T>>;
+
+  virtual ~LogStore() = default;
+
+  // Appends one record; returns its offset.
+  virtual Async<uint64_t> Append(StreamName aStream,
+                                 std::string aRecord,
+                                 base::Millis aTimeout) = 0;
+
+  // Reads from aFrom; waits at most aWait for a record if there is none.
+  virtual Async<StreamPage> Read(StreamName aStream,
+                                 uint64_t aFrom,
+                                 base::Millis aWait,
+                                 base::Millis aTimeout) = 0;
+
+  // Reads the newest record of each key.
+  virtual Async<StreamSnapshot> Newest(StreamName aStream, base::Millis aTimeout) = 0;
+};
+
+}
--- /dev/null
+++ b/modules/gateway/include/sycamore/gateway/replica_list.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "sycamore/base/clock.h"
+#include "sycamore/gateway/replica.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sycamore::gateway {
+
+// The replicas that may receive calls, as the platform lists them. Not thread-safe.
+//
+// An entry that disappears usually means that the replica has left. While the platform's store is
+// away entries lapse although their replicas live; those return soon after the store does, so such
+// an entry stays usable for a grace period.
+class ReplicaList
+{
+public:
+  // aReplica is nothing if the entry was removed or names no replica to use.
+  void Update(const std::string& aId, std::optional<Replica> aReplica, base::TimePoint aNow);
+
+  // Replaces the whole list; entries that are missing in aReplicas count as removed.
+  void Replace(std::map<std::string, Replica> aReplicas, base::TimePoint aNow);
+
+  // The store failed to answer, at aNow.
+  void NoteStoreFailure(base::TimePoint aNow) { mLastStoreFailure = aNow; }
+
+  // The replicas of aService that may receive calls at aNow, in the order of their ids.
+  std::vector<const Replica*> Usable(const std::string& aService, base::TimePoint aNow) const;
+
+  // The replica with aId, also one that is leaving; null if it is not listed.
+  const Replica* Find(const std::string& aId) const;
+
+  // The ids of all listed replicas.
+  std::vector<std::string> Ids() const;
+
+  size_t Size() const { return mEntries.size(); }
+
+private:
+  struct Entry
+  {
+    Replica mReplica;
+    std::optional<base::TimePoint> mUsableUntil; // Set once the entry was removed.
+  };
+
+  void Remove(const std::string& aId, base::TimePoint aNow);
+
+  std::map<std::string, Entry> mEntries;
+  std::optional<base::TimePoint> mLastStoreFailure;
+};
+
+}
--- /dev/null
+++ b/modules/gateway/src/async.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "sycamore/base/clock.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <memory>
+
+// A braced temporary inside a full expression with co_await is destroyed twice by GCC 12.
+// Coroutines therefore name such objects before they are passed on.
+namespace sycamore::gateway {
+
+// Completion token: an awaitable that yields the error code with the value instead of throwing.
+inline constexpr auto kAsTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+// Suspends the coroutine for aDuration.
+inline boost::asio::awaitable<void>
+SleepFor(base::Millis aDuration)
+{
+  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, aDuration);
+  co_await timer.async_wait(kAsTuple);
+}
+
+// An event that coroutines of one event loop wait for.
+class Signal
+{
+public:
+  explicit Signal(const boost::asio::any_io_executor& aExecutor)
+    : mTimer(aExecutor, base::TimePoint::max())
+  {
+  }
+
+  // Wakes all that wait now; later waits wait for the next call.
+  void NotifyAll() { mTimer.cancel(); }
+
+  // Returns after NotifyAll or at aDeadline, whichever is first. May return early, when another
+  // waiter's deadline passes; callers check their condition again.
+  boost::asio::awaitable<void> WaitUntil(base::TimePoint aDeadline)
+  {
+    boost::asio::steady_timer limit(mTimer.get_executor(), aDeadline);
+    limit.async_wait([this, alive = std::weak_ptr<bool>(mAlive)](auto aError) {
+      if (!aError && !alive.expired()) {
+        mTimer.cancel();
+      }
+    });
+    co_await mTimer.async_wait(kAsTuple);
+  }
+
+private:
+  boost::asio::steady_timer mTimer;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+}
--- /dev/null
+++ b/modules/gateway/src/call.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "caller_link.h"
+#include "sycamore/base/clock.h"
+#include "sycamore/gateway/call_head.h"
+#include "sycamore/gateway/route_table.h"
+
+#include <memory>
+#include <string>
+
+namespace sycamore::gateway {
+
+// A request of a caller, with the route that takes it.
+struct Call
+{
+  CallerRequest mRequest;
+  CallHead mHead;
+  std::shared_ptr<const RouteTable> mTable; // Keeps mRoute alive.
+  const Route* mRoute = nullptr;
+  const Service* mService = nullptr; // Null if the table does not describe it.
+  std::string mServiceName;
+  base::TimePoint mArrived;
+  base::TimePoint mDeadline; // The caller's, or the route's timeout if that is earlier.
+};
+
+}
--- /dev/null
+++ b/modules/gateway/src/call_runner.cpp
@@ -0,0 +1,137 @@
+#include "call_runner.h"
+
+#include "call.h"
+#include "dispatcher.h"
+#include "refusal.h"
+#include "sycamore/base/log.h"
+#include "turn_runner.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace sycamore::gateway {
+
+namespace http = boost::beast::http;
+using base::ErrorKind;
+using base::Millis;
+
+// Deadline of a call that names none and whose route has no timeout.
+static constexpr Millis kDefaultDeadline{ 10000 };
+
+// Passes a streamed answer on that is no part of a history.
+class PlainSink : public StreamSink
+{
+public:
+  explicit PlainSink(CallerLink& aLink)
+    : mLink(aLink)
+  {
+  }
+
+  boost::asio::awaitable<bool> OnHeader(http::response_header<> aHeader) override
+  {
+    mBegun = true;
+    return mLink.BeginStream(std::move(aHeader));
+  }
+
+  boost::asio::awaitable<bool> OnBytes(std::string_view aBytes) override
+  {
+    return mLink.SendPiece(aBytes);
+  }
+
+  bool Begun() const { return mBegun; }
+
+private:
+  CallerLink& mLink;
+  bool mBegun = false;
+};
+
+static std::string_view
+ToView(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+// Fills in aCall; returns an error if the request cannot be served as it is.
+static std::optional<base::Error>
+Accept(const Context& aContext, Call& aCall)
+{
+  aCall.mHead = aContext.mEdge.DecodeCall(aCall.mRequest);
+  aCall.mDeadline = aCall.mArrived + aCall.mHead.mDeadline.value_or(kDefaultDeadline);
+  aCall.mTable = aContext.mRoutes;
+  if (!aCall.mTable) {
+    return base::Error{ ErrorKind::ConfigStale, "no configuration is known yet", "" };
+  }
+  aCall.mRoute = FindRoute(
+    *aCall.mTable, ToView(aCall.mRequest[http::field::host]), ToView(aCall.mRequest.target()));
+  if (aCall.mRoute == nullptr) {
+    return base::Error{ ErrorKind::UnknownRoute, "no route takes this host and path", "" };
+  }
+  if (aCall.mHead.mMalformed || aCall.mHead.mAttempt.empty()) {
+    return base::Error{ ErrorKind::MalformedBody, "a header of the call cannot be read", "" };
+  }
+  if (aCall.mRoute->mTimeout > Millis(0)) {
+    aCall.mDeadline = std::min(aCall.mDeadline, aCall.mArrived + aCall.mRoute->mTimeout);
+  }
+  const std::string& key =
+    aCall.mHead.mProgram.empty() ? aCall.mHead.mAttempt : aCall.mHead.mProgram;
+  aCall.mServiceName = ServiceFor(*aCall.mRoute, key);
+  const auto service = aCall.mTable->mServices.find(aCall.mServiceName);
+  aCall.mService = service == aCall.mTable->mServices.end() ? nullptr : &service->second;
+  return std::nullopt;
+}
+
+static boost::asio::awaitable<std::string>
+RunSingle(Context& aContext, CallerLink& aLink, Call& aCall)
+{
+  PlainSink sink(aLink);
+  const bool streams = aCall.mRoute->mKind == CallKind::Stream;
+  const DispatchHint hint;
+  auto result = co_await Dispatch(
+    aContext, aLink, aCall, aCall.mRequest.body(), hint, streams ? &sink : nullptr);
+  if (result.mExchange.mStatus == ExchangeStatus::Streamed) {
+    co_return co_await aLink.EndStream() ? "complete" : "caller gone";
+  }
+  if (result.mExchange.mStatus == ExchangeStatus::Whole) {
+    const auto status = result.mExchange.mAnswer.result_int();
+    co_await aLink.SendWhole(std::move(result.mExchange.mAnswer));
+    co_return fmt::format("replica {} answered {}", result.mReplica, status);
+  }
+  if (sink.Begun() || aLink.Gone()) {
+    co_return "broken off: " + result.mExchange.mDetail;
+  }
+  const base::Error error = ErrorFor(result);
+  co_await SendRefusal(aLink, aCall, error);
+  co_return error.mMessage;
+}
+
+boost::asio::awaitable<void>
+RunCall(Context& aContext, CallerLink& aLink, CallerRequest aRequest)
+{
+  Call call;
+  call.mArrived = base::Clock::now();
+  call.mRequest = std::move(aRequest);
+  ++aContext.mOpenCalls;
+  std::string outcome;
+  if (const auto error = Accept(aContext, call)) {
+    co_await SendRefusal(aLink, call, *error);
+    outcome = error->mMessage;
+  } else if (call.mRoute->mKind == CallKind::Stream && call.mRoute->mKeepsHistory) {
+    TurnRunner runner(aContext, aLink, call);
+    outcome = co_await runner.Run();
+  } else {
+    outcome = co_await RunSingle(aContext, aLink, call);
+  }
+  --aContext.mOpenCalls;
+  const auto took = std::chrono::duration_cast<Millis>(base::Clock::now() - call.mArrived);
+  base::Log(base::LogEvent::CallFinished,
+            "attempt={} program={} route={} config={} took_ms={} outcome=\"{}\"",
+            call.mHead.mAttempt,
+            call.mHead.mProgram,
+            call.mRoute != nullptr ? call.mRoute->mName : "-",
+            call.mTable ? call.mTable->mVersion : 0,
+            took.count(),
+            outcome);
+}
+
+}
--- /dev/null
+++ b/modules/gateway/src/caller_session.cpp
@@ -0,0 +1,278 @@
+#include "caller_session.h"
+
+#include "async.h"
+#include "sycamore/http/error_body.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace sycamore::gateway {
+
+namespace http = boost::beast::http;
+using base::Millis;
+using boost::asio::ip::tcp;
+
+// Time for a body after its header; callers send bodies of up to a few megabytes.
+static constexpr base::Seconds kBodyTimeout{ 10 };
+// A caller that reads nothing for this long has lost the connection.
+static constexpr base::Seconds kWriteTimeout{ 10 };
+// After an answer that ends the connection, its other end has this long to close first, since a
+// close with unread bytes would destroy the answer on its way.
+static constexpr Millis kLingerTimeout{ 300 };
+static constexpr size_t kReadSize = 4096;
+
+WholeAnswer
+ErrorAnswer(const base::Error& aError, std::optional<std::chrono::milliseconds> aRetryAfter)
+{
+  WholeAnswer answer(static_cast<http::status>(base::AnswerFor(aError.mKind).mHttpStatus), 11);
+  answer.set(http::field::content_type, "application/json");
+  if (aRetryAfter) {
+    answer.set(http::field::retry_after,
+               fmt::format("{:.3f}", std::chrono::duration<double>(*aRetryAfter).count()));
+  }
+  answer.body() = sycamore::http::ErrorBody(aError);
+  return answer;
+}
+
+CallerSession::CallerSession(tcp::socket aSocket,
+                             const SessionPolicy& aPolicy,
+                             const CallHandler& aHandler)
+  : mStream(std::move(aSocket))
+  , mPolicy(aPolicy)
+  , mHandler(aHandler)
+{
+}
+
+boost::asio::awaitable<void>
+CallerSession::Run()
+{
+  const auto self = shared_from_this();
+  boost::system::error_code ignored;
+  mStream.socket().set_option(tcp::no_delay(true), ignored);
+  while (mKeepAlive && !mGone) {
+    CallerRequest request;
+    if (co_await ReadRequest(request) != ReadResult::Complete) {
+      break;
+    }
+    ++mCall;
+    mKeepAlive = request.keep_alive();
+    boost::asio::co_spawn(
+      mStream.get_executor(), WatchForClose(self, mCall), boost::asio::detached);
+    co_await mHandler(*this, std::move(request));
+    mGoneHandler = nullptr;
+    if (mStreaming) {
+      break; // The answer broke off.
+    }
+    if (mWatching) {
+      mStream.socket().cancel(ignored);
+    }
+  }
+  if (!mStreaming && !mGone) {
+    co_await CloseGracefully();
+  }
+  mStream.close();
+}
+
+boost::asio::awaitable<bool>
+CallerSession::WaitForBytes(Millis aTimeout)
+{
+  if (mBuffer.size() > 0) {
+    co_return true;
+  }
+  mStream.expires_after(aTimeout);
+  const auto [error, bytes] =
+    co_await mStream.async_read_some(mBuffer.prepare(kReadSize), kAsTuple);
+  mBuffer.commit(bytes);
+  co_return !error;
+}
+
+boost::asio::awaitable<CallerSession::ReadResult>
+CallerSession::ReadRequest(CallerRequest& aOut)
+{
+  const CallerLimits limits = mPolicy.mLimits();
+  if (!co_await WaitForBytes(limits.mIdleTimeout)) {
+    co_return ReadResult::Closed;
+  }
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(static_cast<uint32_t>(limits.mMaxHeaderBytes));
+  parser.body_limit(limits.mMaxBodyBytes);
+  mStream.expires_after(limits.mHeaderTimeout);
+  auto [error, bytes] = co_await http::async_read_header(mStream, mBuffer, parser, kAsTuple);
+  if (!error && boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+    static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    std::tie(error, bytes) =
+      co_await boost::asio::async_write(mStream, boost::asio::buffer(kContinue), kAsTuple);
+  }
+  if (!error && !parser.is_done()) {
+    mStream.expires_after(kBodyTimeout);
+    std::tie(error, bytes) = co_await http::async_read(mStream, mBuffer, parser, kAsTuple);
+  }
+  if (error) {
+    co_return co_await Reject(error);
+  }
+  aOut = parser.release();
+  co_return ReadResult::Complete;
+}
+
+static base::Error
+RejectionFor(boost::system::error_code aError)
+{
+  if (aError == http::error::header_limit) {
+    return { base::ErrorKind::HeaderTooLarge, "the header is longer than allowed", "" };
+  }
+  if (aError == http::error::body_limit) {
+    return { base::ErrorKind::BodyTooLarge, "the body is longer than allowed", "" };
+  }
+  if (aError == boost::beast::error::timeout) {
+    return { base::ErrorKind::RequestTimeout, "the request took too long to arrive", "" };
+  }
+  return { base::ErrorKind::MalformedBody,
+           "the request is not valid HTTP: " + aError.message(),
+           "" };
+}
+
+boost::asio::awaitable<CallerSession::ReadResult>
+CallerSession::Reject(boost::system::error_code aError)
+{
+  const bool isProtocolError =
+    aError.category() == http::make_error_code(http::error::end_of_stream).category();
+  const bool ended = aError == http::error::end_of_stream || aError == http::error::partial_message;
+  if (ended || (!isProtocolError && aError != boost::beast::error::timeout)) {
+    mGone = true;
+    co_return ReadResult::Closed;
+  }
+  mKeepAlive = false;
+  WholeAnswer answer = ErrorAnswer(RejectionFor(aError), std::nullopt);
+  co_await SendWhole(std::move(answer));
+  co_return ReadResult::Answered;
+}
+
+// Ends when the caller closes or sends bytes. Bytes belong to its next request.
+boost::asio::awaitable<void>
+CallerSession::WatchForClose(std::shared_ptr<CallerSession> aSelf, uint64_t aCall)
+{
+  tcp::socket& socket = aSelf->mStream.socket();
+  aSelf->mWatching = true;
+  const auto [error] = co_await socket.async_wait(tcp::socket::wait_read, kAsTuple);
+  if (aCall != aSelf->mCall) {
+    co_return; // The next request has its own watch.
+  }
+  aSelf->mWatching = false;
+  if (error) {
+    co_return;
+  }
+  char byte = 0;
+  const ssize_t received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const bool closed = received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  if (closed) {
+    aSelf->MarkGone();
+  }
+}
+
+void
+CallerSession::MarkGone()
+{
+  if (!std::exchange(mGone, true) && mGoneHandler) {
+    mGoneHandler();
+  }
+}
+
+void
+CallerSession::SetGoneHandler(std::function<void()> aHandler)
+{
+  mGoneHandler = std::move(aHandler);
+}
+
+boost::asio::awaitable<bool>
+CallerSession::SendWhole(WholeAnswer aAnswer)
+{
+  if (mGone) {
+    co_return false;
+  }
+  mKeepAlive = mKeepAlive && !mPolicy.mStopping();
+  aAnswer.keep_alive(mKeepAlive);
+  aAnswer.prepare_payload();
+  mStream.expires_after(kWriteTimeout);
+  const auto [error, bytes] = co_await http::async_write(mStream, aAnswer, kAsTuple);
+  if (error) {
+    MarkGone();
+  }
+  co_return !error;
+}
+
+boost::asio::awaitable<bool>
+CallerSession::BeginStream(http::response_header<> aHeader)
+{
+  if (mGone) {
+    co_return false;
+  }
+  mKeepAlive = mKeepAlive && !mPolicy.mStopping();
+  http::response<http::empty_body> answer(std::move(aHeader));
+  answer.chunked(true);
+  answer.keep_alive(mKeepAlive);
+  http::response_serializer<http::empty_body> serializer(answer);
+  mStreaming = true;
+  mStream.expires_after(kWriteTimeout);
+  const auto [error, bytes] = co_await http::async_write_header(mStream, serializer, kAsTuple);
+  if (error) {
+    MarkGone();
+  }
+  co_return !error;
+}
+
+boost::asio::awaitable<bool>
+CallerSession::SendPiece(std::string_view aBytes)
+{
+  if (mGone) {
+    co_return false;
+  }
+  if (aBytes.empty()) {
+    co_return true; // An empty chunk would end the answer.
+  }
+  mStream.expires_after(kWriteTimeout);
+  const auto [error, bytes] = co_await boost::asio::async_write(
+    mStream, http::make_chunk(boost::asio::buffer(aBytes.data(), aBytes.size())), kAsTuple);
+  if (error) {
+    MarkGone();
+  }
+  co_return !error;
+}
+
+boost::asio::awaitable<bool>
+CallerSession::EndStream()
+{
+  if (mGone) {
+    co_return false;
+  }
+  mStream.expires_after(kWriteTimeout);
+  const auto [error, bytes] =
+    co_await boost::asio::async_write(mStream, http::make_chunk_last(), kAsTuple);
+  if (error) {
+    MarkGone();
+    co_return false;
+  }
+  mStreaming = false;
+  co_return true;
+}
+
+boost::asio::awaitable<void>
+CallerSession::CloseGracefully()
+{
+  boost::system::error_code error;
+  mStream.socket().shutdown(tcp::socket::shutdown_send, error);
+  std::array<char, kReadSize> unread;
+  mStream.expires_after(kLingerTimeout);
+  while (!error) {
+    std::tie(error, std::ignore) =
+      co_await mStream.async_read_some(boost::asio::buffer(unread), kAsTuple);
+  }
+}
+
+}
--- /dev/null
+++ b/modules/gateway/src/caller_session.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "caller_link.h"
+#include "sycamore/gateway/route_table.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <functional>
+#include <memory>
+
+namespace sycamore::gateway {
+
+// Answers one request of a caller.
+using CallHandler = std::function<boost::asio::awaitable<void>(CallerLink&, CallerRequest)>;
+
+// Reads the bounds in force, and whether the process is stopping, at each request.
+struct SessionPolicy
+{
+  std::function<CallerLimits()> mLimits;
+  std::function<bool()> mStopping;
+};
+
+// One connection of a caller: reads its requests one after the other and has each answered before
+// the next is read.
+class CallerSession
+  : public CallerLink
+  , public std::enable_shared_from_this<CallerSession>
+{
+public:
+  CallerSession(boost::asio::ip::tcp::socket aSocket,
+                const SessionPolicy& aPolicy,
+                const CallHandler& aHandler);
+
+  // Serves the connection until it ends.
+  boost::asio::awaitable<void> Run();
+
+  boost::asio::awaitable<bool> SendWhole(WholeAnswer aAnswer) override;
+  boost::asio::awaitable<bool> BeginStream(boost::beast::http::response_header<> aHeader) override;
+  boost::asio::awaitable<bool> SendPiece(std::string_view aBytes) override;
+  boost::asio::awaitable<bool> EndStream() override;
+  bool Gone() const override { return mGone; }
+  void SetGoneHandler(std::function<void()> aHandler) override;
+
+private:
+  enum class ReadResult : uint8_t
+  {
+    Complete,
+    Closed,   // By the caller, or idle for too long.
+    Answered, // With an error; the connection must close, since its framing is in doubt.
+  };
+
+  boost::asio::awaitable<bool> WaitForBytes(base::Millis aTimeout);
+  boost::asio::awaitable<ReadResult> ReadRequest(CallerRequest& aOut);
+  boost::asio::awaitable<ReadResult> Reject(boost::system::error_code aError);
+  static boost::asio::awaitable<void> WatchForClose(std::shared_ptr<CallerSession> aSelf,
+                                                    uint64_t aCall);
+  boost::asio::awaitable<void> CloseGracefully();
+  void MarkGone();
+
+  boost::beast::tcp_stream mStream;
+  boost::beast::flat_buffer mBuffer;
+  const SessionPolicy& mPolicy;
+  const CallHandler& mHandler;
+  std::function<void()> mGoneHandler;
+  uint64_t mCall = 0;     // Number of the request under way.
+  bool mWatching = false; // A watch of the socket is pending.
+  bool mGone = false;
+  bool mStreaming = false; // Header sent, end not sent.
+  bool mKeepAlive = true;
+};
+
+}
--- /dev/null
+++ b/modules/gateway/src/dispatcher.cpp
@@ -0,0 +1,149 @@
+#include "dispatcher.h"
+
+#include "sycamore/base/log.h"
+#include "sycamore/gateway/replica_choice.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace sycamore::gateway {
+
+namespace http = boost::beast::http;
+using base::ErrorKind;
+using base::Millis;
+
+// Replicas that cannot be connected to cost time but are no sends; this many are tried.
+static constexpr uint32_t kMostUnsentTries = 4;
+
+static ReplicaStatePtr
+Choose(Context& aContext,
+       const Call& aCall,
+       const DispatchHint& aHint,
+       const std::set<std::string>& aTried)
+{
+  const base::TimePoint now = base::Clock::now();
+  std::vector<ReplicaStatePtr> states;
+  std::vector<ReplicaView> views;
+  for (const Replica* replica : aContext.mReplicas.Usable(aCall.mServiceName, now)) {
+    if (aTried.contains(replica->mId)) {
+      continue;
+    }
+    states.push_back(aContext.mPool.StateOf(*replica));
+    views.push_back(ViewOf(*states.back(),
+                           aContext.IsNear(replica->mDomain),
+                           replica->mId == aHint.mPrefixReplica,
+                           now));
+  }
+  const auto index = ChooseReplica(views, aHint.mPromptTokens, aContext.mTieBreak++);
+  return index ? states[*index] : nullptr;
+}
+
+// The request as the replica receives it.
+static CallerRequest
+RequestFor(const Context& aContext,
+           const Call& aCall,
+           const std::string& aBody,
+           const Replica& aReplica)
+{
+  CallerRequest request;
+  request.base() = aCall.mRequest.base();
+  for (const auto field : { http::field::connection,
+                            http::field::keep_alive,
+                            http::field::proxy_connection,
+                            http::field::te,
+                            http::field::trailer,
+                            http::field::transfer_encoding,
+                            http::field::upgrade,
+                            http::field::expect,
+                            http::field::content_length }) {
+    request.erase(field);
+  }
+  request.version(11);
+  request.body() = aBody;
+  if (!aBody.empty() || aCall.mRequest.has_content_length() || aCall.mRequest.chunked()) {
+    request.content_length(aBody.size());
+  }
+  const auto left = std::chrono::duration_cast<Millis>(aCall.mDeadline - base::Clock::now());
+  aContext.mEdge.PrepareForReplica(request,
+                                   { aReplica.mId, std::max(left, Millis(1)), std::nullopt });
+  return request;
+}
+
+static bool
+MayTryAgain(const Call& aCall, const DispatchResult& aResult)
+{
+  const bool sendsLeft = aResult.mSends < std::max(aCall.mRoute->mAttempts, 1U);
+  switch (aResult.mExchange.mStatus) {
+    case ExchangeStatus::NotRun:
+      return sendsLeft;
+    case ExchangeStatus::Failed:
+      return sendsLeft && aCall.mRoute->mKind == CallKind::Repeatable;
+    default:
+      return false;
+  }
+}
+
+boost::asio::awaitable<DispatchResult>
+Dispatch(Context& aContext,
+         CallerLink& aLink,
+         const Call& aCall,
+         std::string aBody,
+         const DispatchHint& aHint,
+         StreamSink* aSink)
+{
+  DispatchResult result;
+  result.mExchange.mStatus = ExchangeStatus::NotRun;
+  result.mExchange.mDetail = "no replica";
+  std::set<std::string> tried;
+  uint32_t unsent = 0;
+  while (MayTryAgain(aCall, result) && unsent < kMostUnsentTries &&
+         base::Clock::now() < aCall.mDeadline) {
+    ReplicaStatePtr state = Choose(aContext, aCall, aHint, tried);
+    if (!state) {
+      break;
+    }
+    const Replica replica = state->mReplica;
+    result.mReplica = replica.mId;
+    tried.insert(replica.mId);
+    result.mExchange = co_await RunExchange(aContext,
+                                            aLink,
+                                            std::move(state),
+                                            RequestFor(aContext, aCall, aBody, replica),
+                                            aCall.mHead.mAttempt,
+                                            aCall.mDeadline,
+                                            aSink);
+    result.mSends += result.mExchange.mSent ? 1 : 0;
+    unsent += result.mExchange.mSent ? 0 : 1;
+    result.mMayHaveRun = result.mMayHaveRun || result.mExchange.mStatus == ExchangeStatus::Failed;
+    if (!result.mExchange.mDetail.empty()) {
+      base::Log(base::LogEvent::CallRetried,
+                "attempt={} replica={} sends={} outcome={} detail=\"{}\"",
+                aCall.mHead.mAttempt,
+                replica.mId,
+                result.mSends,
+                static_cast<int>(result.mExchange.mStatus),
+                result.mExchange.mDetail);
+    }
+  }
+  co_return result;
+}
+
+base::Error
+ErrorFor(const DispatchResult& aResult)
+{
+  switch (aResult.mMayHaveRun ? ExchangeStatus::Failed : aResult.mExchange.mStatus) {
+    case ExchangeStatus::NotRun:
+      return { aResult.mSends == 0 ? ErrorKind::NoTarget : ErrorKind::Overloaded,
+               "no replica ran the call: " + aResult.mExchange.mDetail,
+               "" };
+    case ExchangeStatus::Expired:
+      return { ErrorKind::DeadlineExceeded, "the call was not answered in time", "" };
+    default:
+      return { ErrorKind::OutcomeUnknown,
+               "the call may have run: " + aResult.mExchange.mDetail,
+               "" };
+  }
+}
+
+}
--- /dev/null
+++ b/modules/gateway/src/dispatcher.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "call.h"
+#include "caller_link.h"
+#include "context.h"
+#include "replica_exchange.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <set>
+#include <string>
+
+namespace sycamore::gateway {
+
+// How a call is routed beyond its route.
+struct DispatchHint
+{
+  std::string mPrefixReplica; // Whose cache has the beginning of the prompt; may be empty.
+  uint64_t mPromptTokens = 0;
+};
+
+struct DispatchResult
+{
+  ExchangeResult mExchange;
+  std::string mReplica;     // The last one that was tried.
+  uint32_t mSends = 0;      // Replicas that the call was sent to.
+  bool mMayHaveRun = false; // At one of them, without a usable answer.
+};
+
+// Sends aCall with aBody to replicas, one after the other, until one has run it or may have run it;
+// repeatable calls go on after failures too. At most as many replicas receive it as the route
+// allows.
+boost::asio::awaitable<DispatchResult>
+Dispatch(Context& aContext,
+         CallerLink& aLink,
+         const Call& aCall,
+         std::string aBody,
+         const DispatchHint& aHint,
+         StreamSink* aSink);
+
+// The error that the caller of a call without an answer receives.
+base::Error
+ErrorFor(const DispatchResult& aResult);
+
+}
--- /dev/null
+++ b/modules/gateway/src/gateway.cpp
@@ -0,0 +1,331 @@
+#include "sycamore/gateway/gateway.h"
+
+#include "async.h"
+#include "call_runner.h"
+#include "caller_session.h"
+#include "context.h"
+#include "stream_follower.h"
+#include "sycamore/base/log.h"
+#include "sycamore/base/random.h"
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <thread>
+#include <utility>
+
+namespace sycamore::gateway {
+
+using base::LogEvent;
+using base::Millis;
+using boost::asio::ip::tcp;
+
+// The balancer asks once per second and takes a process out after two misses.
+static constexpr Millis kDrainNotice{ 2500 };
+// How often the end of the open calls is checked while draining.
+static constexpr Millis kDrainPoll{ 20 };
+// Pause after a connection could not be accepted, for example for lack of descriptors.
+static constexpr Millis kAcceptPause{ 50 };
+static constexpr int kListenBacklog = 512;
+// How often the connections of replicas that are gone are dropped.
+static constexpr base::Seconds kCleanupInterval{ 5 };
+
+class Gateway::Impl
+{
+public:
+  Impl(const settings::Settings& aSettings, GatewayAdapters aAdapters)
+    : mSettings(aSettings)
+    , mAdapters(std::move(aAdapters))
+    , mStore(mAdapters.mMakeLogStore(mLoop.get_executor()))
+    , mContext(mLoop.get_executor(), *mStore, *mAdapters.mEdge)
+    , mCallers(mLoop)
+    , mReadiness(mLoop)
+  {
+    mContext.mRegion = mSettings.mRegion;
+    mContext.mRegionOfDomain = mSettings.mRegionOfDomain;
+    mContext.mTieBreak = base::StableHash(mSettings.mInstance);
+    mPolicy = { [this] { return mContext.mRoutes ? mContext.mRoutes->mLimits : CallerLimits{}; },
+                [this] { return mContext.mStopping; } };
+    mCallHandler = [this](CallerLink& aLink, CallerRequest aRequest) {
+      return RunCall(mContext, aLink, std::move(aRequest));
+    };
+    mReadinessHandler = [this](CallerLink& aLink, CallerRequest aRequest) {
+      return AnswerReadiness(aLink, std::move(aRequest));
+    };
+  }
+
+  base::Result<base::Unit> Start();
+  void BeginDrain();
+  bool Drained() const;
+  void Stop();
+
+private:
+  base::Result<base::Unit> Bind(tcp::acceptor& aAcceptor, const http::Endpoint& aEndpoint);
+  boost::asio::awaitable<void> Accept(tcp::acceptor& aAcceptor, const CallHandler& aHandler);
+  boost::asio::awaitable<void> AnswerReadiness(CallerLink& aLink, CallerRequest aRequest);
+  boost::asio::awaitable<void> Cleanup();
+  boost::asio::awaitable<void> Drain();
+  void Spawn(boost::asio::awaitable<void> aTask);
+  void FollowConfiguration();
+  void FollowReplicas();
+  void TakeConfiguration(const StreamRecord& aRecord);
+  void TakeReplica(StreamRecord aRecord);
+  void TakeReplicas(StreamSnapshot aSnapshot);
+  bool Ready() const;
+
+  const settings::Settings mSettings;
+  const GatewayAdapters mAdapters;
+  boost::asio::io_context mLoop{ 1 };
+  std::unique_ptr<LogStore> mStore;
+  Context mContext;
+  SessionPolicy mPolicy;
+  CallHandler mCallHandler;
+  CallHandler mReadinessHandler;
+  tcp::acceptor mCallers;
+  tcp::acceptor mReadiness;
+  std::thread mThread;
+  std::atomic<bool> mDrained{ false };
+};
+
+base::Result<base::Unit>
+Gateway::Impl::Bind(tcp::acceptor& aAcceptor, const http::Endpoint& aEndpoint)
+{
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(aEndpoint.mAddress, error);
+  const tcp::endpoint endpoint(address, aEndpoint.mPort);
+  if (!error) {
+    aAcceptor.open(endpoint.protocol(), error);
+  }
+  if (!error) {
+    aAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    aAcceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    aAcceptor.listen(kListenBacklog, error);
+  }
+  if (error) {
+    return base::Error{ base::ErrorKind::InvalidSettings,
+                        "cannot listen on " + ToString(aEndpoint) + ": " + error.message(),
+                        "" };
+  }
+  return base::Unit{};
+}
+
+void
+Gateway::Impl::Spawn(boost::asio::awaitable<void> aTask)
+{
+  boost::asio::co_spawn(mLoop, std::move(aTask), boost::asio::detached);
+}
+
+base::Result<base::Unit>
+Gateway::Impl::Start()
+{
+  for (auto result : { Bind(mCallers, mSettings.mHttp), Bind(mReadiness, *mSettings.mReadiness) }) {
+    if (!base::IsOk(result)) {
+      return result;
+    }
+  }
+  Spawn(Accept(mCallers, mCallHandler));
+  Spawn(Accept(mReadiness, mReadinessHandler));
+  FollowConfiguration();
+  FollowReplicas();
+  Spawn(mContext.mPrograms.Run());
+  Spawn(Cleanup());
+  mThread = std::thread([this] { mLoop.run(); });
+  return base::Unit{};
+}
+
+boost::asio::awaitable<void>
+Gateway::Impl::Accept(tcp::acceptor& aAcceptor, const CallHandler& aHandler)
+{
+  for (;;) {
+    auto [error, socket] = co_await aAcceptor.async_accept(kAsTuple);
+    if (error) {
+      base::Log(LogEvent::HttpError, "accept: {}", error.message());
+      co_await SleepFor(kAcceptPause);
+      continue;
+    }
+    const auto session = std::make_shared<CallerSession>(std::move(socket), mPolicy, aHandler);
+    boost::asio::co_spawn(mLoop, session->Run(), boost::asio::detached);
+  }
+}
+
+bool
+Gateway::Impl::Ready() const
+{
+  return mContext.mRoutes && mContext.mPrograms.Loaded() && !mContext.mStopping;
+}
+
+boost::asio::awaitable<void>
+Gateway::Impl::AnswerReadiness(CallerLink& aLink, CallerRequest aRequest)
+{
+  const bool known = aRequest.target() == mAdapters.mEdge->ReadinessPath();
+  WholeAnswer answer(boost::beast::http::status::ok, 11);
+  if (!known) {
+    answer =
+      ErrorAnswer({ base::ErrorKind::UnknownRoute, "only readiness is served here", "" }, {});
+  } else if (!Ready()) {
+    answer = ErrorAnswer({ base::ErrorKind::Stopping, "not ready", "" }, {});
+  }
+  co_await aLink.SendWhole(std::move(answer));
+}
+
+void
+Gateway::Impl::FollowConfiguration()
+{
+  FollowerHandlers handlers;
+  handlers.mOnSnapshot = [this](StreamSnapshot aSnapshot) {
+    for (const StreamRecord& record : aSnapshot.mRecords) {
+      TakeConfiguration(record);
+    }
+  };
+  handlers.mOnRecord = [this](StreamRecord aRecord) { TakeConfiguration(aRecord); };
+  handlers.mOnFailure = [] {};
+  Spawn(FollowStream(*mStore, StreamName::Configuration, std::move(handlers)));
+}
+
+void
+Gateway::Impl::TakeConfiguration(const StreamRecord& aRecord)
+{
+  if (aRecord.mKey != mAdapters.mCodec->ConfigurationKey() || !aRecord.mValue) {
+    return;
+  }
+  auto table = mAdapters.mCodec->DecodeConfiguration(*aRecord.mValue);
+  const uint64_t current = mContext.mRoutes ? mContext.mRoutes->mVersion : 0;
+  if (!table) {
+    base::Log(
+      LogEvent::EditRejected, "offset={} the configuration cannot be read", aRecord.mOffset);
+    return;
+  }
+  if (mContext.mRoutes && table->mVersion <= current) {
+    return; // An older version never replaces a newer one.
+  }
+  base::Log(LogEvent::TableChanged,
+            "version={} before={} routes={} services={}",
+            table->mVersion,
+            current,
+            table->mRoutes.size(),
+            table->mServices.size());
+  mContext.mRoutes = std::make_shared<const RouteTable>(std::move(*table));
+}
+
+void
+Gateway::Impl::FollowReplicas()
+{
+  FollowerHandlers handlers;
+  handlers.mOnSnapshot = [this](StreamSnapshot aSnapshot) { TakeReplicas(std::move(aSnapshot)); };
+  handlers.mOnRecord = [this](StreamRecord aRecord) { TakeReplica(std::move(aRecord)); };
+  handlers.mOnFailure = [this] { mContext.mReplicas.NoteStoreFailure(base::Clock::now()); };
+  Spawn(FollowStream(*mStore, StreamName::Replicas, std::move(handlers)));
+}
+
+void
+Gateway::Impl::TakeReplicas(StreamSnapshot aSnapshot)
+{
+  std::map<std::string, Replica> replicas;
+  for (const StreamRecord& record : aSnapshot.mRecords) {
+    if (!record.mValue) {
+      continue;
+    }
+    if (auto replica = mAdapters.mCodec->DecodeReplica(record.mKey, *record.mValue)) {
+      replicas.emplace(record.mKey, std::move(*replica));
+    }
+  }
+  mContext.mReplicas.Replace(std::move(replicas), base::Clock::now());
+}
+
+void
+Gateway::Impl::TakeReplica(StreamRecord aRecord)
+{
+  auto replica =
+    aRecord.mValue ? mAdapters.mCodec->DecodeReplica(aRecord.mKey, *aRecord.mValue) : std::nullopt;
+  if (!replica || replica->mLeaving) {
+    base::Log(replica ? LogEvent::InstanceLeaving : LogEvent::InstanceGone,
+              "replica={} offset={}",
+              aRecord.mKey,
+              aRecord.mOffset);
+  }
+  mContext.mReplicas.Update(aRecord.mKey, std::move(replica), base::Clock::now());
+}
+
+boost::asio::awaitable<void>
+Gateway::Impl::Cleanup()
+{
+  for (;;) {
+    co_await SleepFor(kCleanupInterval);
+    mContext.mPool.Retain(mContext.mReplicas.Ids());
+  }
+}
+
+void
+Gateway::Impl::BeginDrain()
+{
+  Spawn(Drain());
+}
+
+boost::asio::awaitable<void>
+Gateway::Impl::Drain()
+{
+  mContext.mStopping = true;
+  co_await SleepFor(kDrainNotice);
+  while (mContext.mOpenCalls > 0) {
+    co_await SleepFor(kDrainPoll);
+  }
+  mDrained = true;
+}
+
+bool
+Gateway::Impl::Drained() const
+{
+  return mDrained;
+}
+
+void
+Gateway::Impl::Stop()
+{
+  mLoop.stop();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+Gateway::Gateway(const settings::Settings& aSettings, GatewayAdapters aAdapters)
+  : mImpl(std::make_unique<Impl>(aSettings, std::move(aAdapters)))
+{
+}
+
+Gateway::~Gateway()
+{
+  Stop();
+}
+
+base::Result<base::Unit>
+Gateway::Start()
+{
+  return mImpl->Start();
+}
+
+void
+Gateway::BeginDrain()
+{
+  mImpl->BeginDrain();
+}
+
+bool
+Gateway::Drained() const
+{
+  return mImpl->Drained();
+}
+
+void
+Gateway::Stop()
+{
+  mImpl->Stop();
+}
+
+}
--- /dev/null
+++ b/modules/gateway/src/program_log.cpp
@@ -0,0 +1,171 @@
+#include "program_log.h"
+
+#include "sycamore/base/log.h"
+#include "sycamore/programs/record_codec.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace sycamore::gateway {
+
+using base::LogEvent;
+using base::Millis;
+
+// A read returns at once when there are records; without any after this time.
+static constexpr Millis kReadWait{ 1000 };
+static constexpr Millis kReadTimeout{ 1700 };
+// Pause between two reads of a busy stream: several records come with one paid call.
+static constexpr Millis kReadInterval{ 25 };
+static constexpr Millis kRetryPause{ 150 };
+// Limit of one append. Far regions take 75 ms; the store is at times 50 times slower.
+static constexpr Millis kAppendTimeout{ 600 };
+static constexpr Millis kAppendRetryPause{ 60 };
+// How often expired turns are looked for.
+static constexpr base::Seconds kExpiryInterval{ 5 };
+
+static Millis
+TimeOfDay()
+{
+  return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+static Millis
+TimeLeft(base::TimePoint aDeadline)
+{
+  return std::chrono::duration_cast<Millis>(aDeadline - base::Clock::now());
+}
+
+ProgramLog::ProgramLog(const boost::asio::any_io_executor& aExecutor, LogStore& aStore)
+  : mExecutor(aExecutor)
+  , mStore(aStore)
+  , mApplied(aExecutor)
+{
+}
+
+boost::asio::awaitable<void>
+ProgramLog::Run()
+{
+  base::TimePoint nextExpiry = base::Clock::now() + kExpiryInterval;
+  for (;;) {
+    const uint64_t before = mNext;
+    const auto read = co_await ReadOnce(kReadWait, kReadTimeout);
+    if (!base::IsOk(read)) {
+      co_await SleepFor(kRetryPause);
+    } else if (mNext != before && mLoaded) {
+      co_await SleepFor(kReadInterval);
+    }
+    if (base::Clock::now() >= nextExpiry) {
+      mBook.Expire(TimeOfDay());
+      nextExpiry = base::Clock::now() + kExpiryInterval;
+    }
+  }
+}
+
+boost::asio::awaitable<base::Result<base::Unit>>
+ProgramLog::ReadOnce(Millis aWait, Millis aTimeout)
+{
+  auto page = co_await mStore.Read(StreamName::Programs, mNext, aWait, aTimeout);
+  if (!base::IsOk(page)) {
+    if (!std::exchange(mFailing, true)) {
+      base::Log(LogEvent::LogReadFailed,
+                "stream=programs next={} error=\"{}\"",
+                mNext,
+                base::ErrorOf(page).mMessage);
+    }
+    co_return base::ErrorOf(page);
+  }
+  mFailing = false;
+  ApplyPage(base::ValueOf(page));
+  co_return base::Unit{};
+}
+
+void
+ProgramLog::ApplyPage(const StreamPage& aPage)
+{
+  for (const StreamRecord& record : aPage.mRecords) {
+    if (record.mOffset >= mNext && record.mValue) {
+      ApplyRecord(record.mOffset, *record.mValue);
+    }
+  }
+  mNext = std::max(mNext, aPage.mNext);
+  if (mNext >= aPage.mEnd) {
+    mLoaded = true;
+  }
+  mApplied.NotifyAll();
+}
+
+void
+ProgramLog::ApplyRecord(uint64_t aOffset, const std::string& aBytes)
+{
+  if (const auto record = programs::DecodeRecord(aBytes)) {
+    mBook.Apply(*record);
+  } else {
+    base::Log(LogEvent::BatchIgnored, "stream=programs offset={}: not a record", aOffset);
+  }
+  mNext = aOffset + 1;
+}
+
+boost::asio::awaitable<base::Result<base::Unit>>
+ProgramLog::CatchUp(base::TimePoint aDeadline)
+{
+  base::Error error{ base::ErrorKind::LogUnavailable, "the log did not answer in time", "" };
+  while (TimeLeft(aDeadline) > Millis(0)) {
+    auto page = co_await mStore.Read(
+      StreamName::Programs, mNext, Millis(0), std::min(TimeLeft(aDeadline), kAppendTimeout));
+    if (!base::IsOk(page)) {
+      mFailing = true;
+      error.mMessage = base::ErrorOf(page).mMessage;
+      co_await SleepFor(std::min(kAppendRetryPause, std::max(TimeLeft(aDeadline), Millis(0))));
+      continue;
+    }
+    ApplyPage(base::ValueOf(page));
+    if (mNext >= base::ValueOf(page).mEnd) {
+      co_return base::Unit{};
+    }
+  }
+  co_return error;
+}
+
+boost::asio::awaitable<base::Result<uint64_t>>
+ProgramLog::Append(programs::ProgramEvent aEvent, base::TimePoint aDeadline)
+{
+  const std::string bytes = programs::EncodeRecord({ TimeOfDay(), std::move(aEvent) });
+  base::Error error{ base::ErrorKind::LogUnavailable, "no time was left to append", "" };
+  while (TimeLeft(aDeadline) > Millis(0)) {
+    const auto appended = co_await AppendOnce(bytes, std::min(TimeLeft(aDeadline), kAppendTimeout));
+    if (base::IsOk(appended)) {
+      mFailing = false;
+      co_return base::ValueOf(appended);
+    }
+    mFailing = true;
+    const bool wasUncertain = error.mKind == base::ErrorKind::OutcomeUnknown;
+    error.mMessage = base::ErrorOf(appended).mMessage;
+    error.mKind = wasUncertain ? error.mKind : base::ErrorOf(appended).mKind;
+    co_await SleepFor(std::min(kAppendRetryPause, std::max(TimeLeft(aDeadline), Millis(0))));
+  }
+  co_return error;
+}
+
+boost::asio::awaitable<base::Result<uint64_t>>
+ProgramLog::AppendOnce(const std::string& aBytes, Millis aTimeout)
+{
+  auto appended = co_await mStore.Append(StreamName::Programs, aBytes, aTimeout);
+  if (base::IsOk(appended) && base::ValueOf(appended) == mNext) {
+    // Nothing lies between the records already applied and this one.
+    ApplyRecord(mNext, aBytes);
+    mApplied.NotifyAll();
+  }
+  co_return appended;
+}
+
+boost::asio::awaitable<bool>
+ProgramLog::WaitApplied(uint64_t aOffset, base::TimePoint aDeadline)
+{
+  while (mNext <= aOffset && base::Clock::now() < aDeadline) {
+    co_await mApplied.WaitUntil(aDeadline);
+  }
+  co_return mNext > aOffset;
+}
+
+}
--- /dev/null
+++ b/modules/gateway/src/program_log.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "async.h"
+#include "sycamore/base/clock.h"
+#include "sycamore/base/result.h"
+#include "sycamore/gateway/log_store.h"
+#include "sycamore/programs/program_book.h"
+#include "sycamore/programs/program_record.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+
+namespace sycamore::gateway {
+
+// The programs' stream as this process sees it: follows the stream, applies each record to the
+// book, and appends. Lives on one event loop.
+class ProgramLog
+{
+public:
+  ProgramLog(const boost::asio::any_io_executor& aExecutor, LogStore& aStore);
+
+  // Follows the stream for good.
+  boost::asio::awaitable<void> Run();
+
+  const programs::ProgramBook& Book() const { return mBook; }
+
+  // Whether everything that was in the stream when the process started has been applied.
+  bool Loaded() const { return mLoaded; }
+
+  // Whether the last call to the store failed.
+  bool Failing() const { return mFailing; }
+
+  // Applies all records that are in the stream at the time of the call. LogUnavailable if the store
+  // does not answer before aDeadline.
+  boost::asio::awaitable<base::Result<base::Unit>> CatchUp(base::TimePoint aDeadline);
+
+  // Appends aEvent; returns its offset once the store has it. Tries again until aDeadline, since a
+  // record that is appended twice has the effect of one. LogUnavailable if it is certain that the
+  // record was not appended, OutcomeUnknown otherwise.
+  boost::asio::awaitable<base::Result<uint64_t>> Append(programs::ProgramEvent aEvent,
+                                                        base::TimePoint aDeadline);
+
+  // Waits until the record at aOffset and all before it are applied. False if that did not happen
+  // before aDeadline.
+  boost::asio::awaitable<bool> WaitApplied(uint64_t aOffset, base::TimePoint aDeadline);
+
+private:
+  void ApplyPage(const StreamPage& aPage);
+  void ApplyRecord(uint64_t aOffset, const std::string& aBytes);
+  boost::asio::awaitable<base::Result<base::Unit>> ReadOnce(base::Millis aWait,
+                                                            base::Millis aTimeout);
+  boost::asio::awaitable<base::Result<uint64_t>> AppendOnce(const std::string& aBytes,
+                                                            base::Millis aTimeout);
+
+  boost::asio::any_io_executor mExecutor;
+  LogStore& mStore;
+  programs::ProgramBook mBook;
+  uint64_t mNext = 0; // Offset of the next record to apply.
+  bool mLoaded = false;
+  bool mFailing = false;
+  Signal mApplied; // Each time mNext advances.
+};
+
+}
--- /dev/null
+++ b/modules/gateway/src/replica_connection.cpp
@@ -0,0 +1,38 @@
+#include "replica_connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace sycamore::gateway {
+
+bool
+IsQuiet(ReplicaConnection& aConnection)
+{
+  char byte = 0;
+  const ssize_t received =
+    ::recv(aConnection.mStream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return aConnection.mBuffer.size() == 0 && received < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+static void
+SetOption(int aSocket, int aLevel, int aName, int aValue)
+{
+  [[maybe_unused]] const int result = ::setsockopt(aSocket, aLevel, aName, &aValue, sizeof aValue);
+}
+
+void
+DetectSilence(boost::asio::ip::tcp::socket& aSocket, base::Millis aTimeout)
+{
+  const int handle = aSocket.native_handle();
+  SetOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(aTimeout.count()));
+  SetOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  // The kernel counts keep-alive times in whole seconds.
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, 1);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPCNT, 2);
+}
+
+}
--- /dev/null
+++ b/modules/gateway/src/replica_connection.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "sycamore/base/clock.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <memory>
+
+namespace sycamore::gateway {
+
+// An open connection to a replica; carries one call at a time.
+struct ReplicaConnection
+{
+  explicit ReplicaConnection(const boost::asio::any_io_executor& aExecutor)
+    : mStream(aExecutor)
+  {
+  }
+
+  boost::beast::tcp_stream mStream;
+  boost::beast::flat_buffer mBuffer;
+  base::TimePoint mUsableUntil; // While idle: after it the replica may close the connection.
+  bool mReused = false;         // Carried a call before.
+};
+
+using ReplicaConnectionPtr = std::unique_ptr<ReplicaConnection>;
+
+// Whether an idle connection is still open and has received nothing. Bytes that arrive without a
+// call belong to none.
+bool
+IsQuiet(ReplicaConnection& aConnection);
+
+// Makes the kernel report a peer that no longer answers within aTimeout, while data is
+// unacknowledged or the connection is idle. Failures are ignored: the options only shorten the
+// detection.
+void
+DetectSilence(boost::asio::ip::tcp::socket& aSocket, base::Millis aTimeout);
+
+}
--- /dev/null
+++ b/modules/gateway/src/replica_exchange.cpp
@@ -0,0 +1,316 @@
+#include "replica_exchange.h"
+
+#include "async.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+#include <utility>
+
+namespace sycamore::gateway {
+
+namespace http = boost::beast::http;
+using base::Millis;
+
+// Limit of a new connection. Another replica is tried after it; the farthest one answers in 65 ms.
+static constexpr Millis kConnectTimeout{ 300 };
+static constexpr size_t kPieceSize = 16384;
+// Answers to other calls that are skipped before an answer is given up.
+static constexpr int kMostForeignAnswers = 2;
+
+namespace {
+
+using AnswerParser = http::response_parser<http::buffer_body>;
+
+// One call on one connection.
+class Exchange
+{
+public:
+  Exchange(Context& aContext,
+           CallerLink& aLink,
+           ReplicaStatePtr aState,
+           CallerRequest aRequest,
+           const std::string& aAttempt,
+           base::TimePoint aDeadline,
+           StreamSink* aSink)
+    : mContext(aContext)
+    , mLink(aLink)
+    , mState(std::move(aState))
+    , mRequest(std::move(aRequest))
+    , mAttempt(aAttempt)
+    , mDeadline(aDeadline)
+    , mSink(aSink)
+  {
+    ++mState->mInFlight;
+  }
+
+  ~Exchange()
+  {
+    --mState->mInFlight;
+    mLink.SetGoneHandler(nullptr);
+  }
+
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  boost::asio::awaitable<ExchangeResult> Run();
+
+private:
+  boost::asio::awaitable<bool> Connect();
+  boost::asio::awaitable<bool> ReadHeader();
+  boost::asio::awaitable<bool> SkipBody();
+  boost::asio::awaitable<ExchangeResult> ReadAnswer();
+  boost::asio::awaitable<ExchangeResult> ReadWhole();
+  boost::asio::awaitable<ExchangeResult> ReadStream();
+  // Reads a piece of the body; empty at its end or, with mError set, on failure.
+  boost::asio::awaitable<std::string_view> ReadPiece();
+  ExchangeResult Interrupted(boost::system::error_code aError, std::string_view aStage) const;
+  ExchangeResult Failed(std::string aDetail) const;
+  void NoteLoad();
+  void Keep();
+  http::response_header<> ForwardedHeader() const;
+
+  Context& mContext;
+  CallerLink& mLink;
+  ReplicaStatePtr mState;
+  CallerRequest mRequest;
+  const std::string& mAttempt;
+  base::TimePoint mDeadline;
+  StreamSink* mSink;
+  ReplicaConnectionPtr mConnection;
+  std::unique_ptr<AnswerParser> mParser;
+  AnswerHead mHead;
+  std::array<char, kPieceSize> mPiece{};
+  boost::system::error_code mError;
+};
+
+}
+
+ExchangeResult
+Exchange::Interrupted(boost::system::error_code aError, std::string_view aStage) const
+{
+  ExchangeResult result;
+  result.mSent = true;
+  result.mDetail = fmt::format("{}: {}", aStage, aError.message());
+  if (mLink.Gone()) {
+    result.mStatus = ExchangeStatus::CallerGone;
+  } else if (base::Clock::now() >= mDeadline) {
+    result.mStatus = ExchangeStatus::Expired;
+  } else {
+    NoteFailure(*mState, base::Clock::now());
+  }
+  return result;
+}
+
+ExchangeResult
+Exchange::Failed(std::string aDetail) const
+{
+  NoteFailure(*mState, base::Clock::now());
+  ExchangeResult result;
+  result.mSent = true;
+  result.mDetail = std::move(aDetail);
+  return result;
+}
+
+boost::asio::awaitable<bool>
+Exchange::Connect()
+{
+  const auto left = std::chrono::duration_cast<Millis>(mDeadline - base::Clock::now());
+  auto acquired = co_await mContext.mPool.Acquire(mState, std::min(left, kConnectTimeout));
+  if (!base::IsOk(acquired)) {
+    NoteFailure(*mState, base::Clock::now());
+    co_return false;
+  }
+  mConnection = base::TakeValue(std::move(acquired));
+  co_return true;
+}
+
+boost::asio::awaitable<ExchangeResult>
+Exchange::Run()
+{
+  if (!co_await Connect()) {
+    co_return ExchangeResult{ ExchangeStatus::NotRun, false, {}, "no connection" };
+  }
+  if (mLink.Gone()) {
+    co_return ExchangeResult{ ExchangeStatus::CallerGone, false, {}, "before the send" };
+  }
+  mLink.SetGoneHandler([this] { mConnection->mStream.cancel(); });
+  mConnection->mStream.expires_at(mDeadline);
+  const auto [error, bytes] = co_await http::async_write(mConnection->mStream, mRequest, kAsTuple);
+  if (error) {
+    co_return Interrupted(error, "send");
+  }
+  for (int foreign = 0; foreign <= kMostForeignAnswers; ++foreign) {
+    if (!co_await ReadHeader()) {
+      co_return Interrupted(mError, "header");
+    }
+    if (mHead.mAttempt.empty() || mHead.mAttempt == mAttempt) {
+      co_return co_await ReadAnswer();
+    }
+    if (!co_await SkipBody()) {
+      co_return Interrupted(mError, "answer to another call");
+    }
+  }
+  co_return Failed("answers to other calls only");
+}
+
+boost::asio::awaitable<bool>
+Exchange::ReadHeader()
+{
+  mParser = std::make_unique<AnswerParser>();
+  mParser->body_limit(boost::none);
+  mParser->skip(mRequest.method() == http::verb::head);
+  std::tie(mError, std::ignore) = co_await http::async_read_header(
+    mConnection->mStream, mConnection->mBuffer, *mParser, kAsTuple);
+  if (mError || mLink.Gone()) {
+    co_return false;
+  }
+  mHead = mContext.mEdge.DecodeAnswer(mParser->get());
+  NoteLoad();
+  co_return true;
+}
+
+void
+Exchange::NoteLoad()
+{
+  if (mHead.mLoad) {
+    mState->mLoad = mHead.mLoad;
+    mState->mLoadAt = base::Clock::now();
+  }
+}
+
+boost::asio::awaitable<std::string_view>
+Exchange::ReadPiece()
+{
+  while (!mParser->is_done()) {
+    mParser->get().body().data = mPiece.data();
+    mParser->get().body().size = mPiece.size();
+    std::tie(mError, std::ignore) = co_await http::async_read_some(
+      mConnection->mStream, mConnection->mBuffer, *mParser, kAsTuple);
+    if (mError == http::error::need_buffer) {
+      mError = {};
+    }
+    const size_t size = mPiece.size() - mParser->get().body().size;
+    if (mError || size > 0) {
+      co_return std::string_view(mPiece.data(), mError ? 0 : size);
+    }
+    if (mLink.Gone()) {
+      mError = boost::asio::error::operation_aborted;
+      co_return std::string_view();
+    }
+  }
+  co_return std::string_view();
+}
+
+boost::asio::awaitable<bool>
+Exchange::SkipBody()
+{
+  while (!(co_await ReadPiece()).empty()) {
+  }
+  co_return !mError;
+}
+
+boost::asio::awaitable<ExchangeResult>
+Exchange::ReadAnswer()
+{
+  const int status = mParser->get().result_int();
+  if (mHead.mNotRun) {
+    co_await SkipBody();
+    Keep();
+    co_return ExchangeResult{
+      ExchangeStatus::NotRun, true, {}, fmt::format("replica answered {}", status)
+    };
+  }
+  const bool success = status >= 200 && status < 300;
+  if (success && (!mHead.mSigned || mHead.mAttempt.empty())) {
+    co_return Failed("success without signature or id");
+  }
+  if (mHead.mEncoded) {
+    co_return Failed("encoded answer");
+  }
+  if (success && mSink != nullptr) {
+    co_return co_await ReadStream();
+  }
+  co_return co_await ReadWhole();
+}
+
+http::response_header<>
+Exchange::ForwardedHeader() const
+{
+  http::response_header<> header = mParser->get().base();
+  header.erase(http::field::connection);
+  header.erase(http::field::keep_alive);
+  header.erase(http::field::transfer_encoding);
+  header.erase(http::field::content_length);
+  header.erase(http::field::trailer);
+  header.erase(http::field::upgrade);
+  header.erase(http::field::proxy_connection);
+  header.version(11);
+  return header;
+}
+
+boost::asio::awaitable<ExchangeResult>
+Exchange::ReadWhole()
+{
+  ExchangeResult result;
+  result.mAnswer.base() = ForwardedHeader();
+  for (std::string_view piece = co_await ReadPiece(); !piece.empty();
+       piece = co_await ReadPiece()) {
+    result.mAnswer.body() += piece;
+  }
+  if (mError) {
+    co_return Interrupted(mError, "body");
+  }
+  NoteSuccess(*mState);
+  Keep();
+  result.mStatus = ExchangeStatus::Whole;
+  result.mSent = true;
+  co_return result;
+}
+
+boost::asio::awaitable<ExchangeResult>
+Exchange::ReadStream()
+{
+  const ExchangeResult cancelled{ ExchangeStatus::CallerGone, true, {}, "cancelled" };
+  if (!co_await mSink->OnHeader(ForwardedHeader())) {
+    co_return cancelled;
+  }
+  for (std::string_view piece = co_await ReadPiece(); !piece.empty();
+       piece = co_await ReadPiece()) {
+    if (!co_await mSink->OnBytes(piece)) {
+      co_return cancelled;
+    }
+  }
+  if (mError) {
+    co_return Interrupted(mError, "body");
+  }
+  NoteSuccess(*mState);
+  Keep();
+  co_return ExchangeResult{ ExchangeStatus::Streamed, true, {}, "" };
+}
+
+void
+Exchange::Keep()
+{
+  mLink.SetGoneHandler(nullptr);
+  if (!mError && mParser->is_done() && mParser->keep_alive()) {
+    ReplicaPool::Release(*mState, std::move(mConnection), mHead.mIdleTimeout);
+  }
+}
+
+boost::asio::awaitable<ExchangeResult>
+RunExchange(Context& aContext,
+            CallerLink& aLink,
+            ReplicaStatePtr aState,
+            CallerRequest aRequest,
+            const std::string& aAttempt,
+            base::TimePoint aDeadline,
+            StreamSink* aSink)
+{
+  Exchange exchange(
+    aContext, aLink, std::move(aState), std::move(aRequest), aAttempt, aDeadline, aSink);
+  co_return co_await exchange.Run();
+}
+
+}
--- /dev/null
+++ b/modules/gateway/src/replica_exchange.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "caller_link.h"
+#include "context.h"
+#include "replica_pool.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <string>
+#include <string_view>
+
+namespace sycamore::gateway {
+
+enum class ExchangeStatus : uint8_t
+{
+  Whole,      // The replica's whole answer was read; it is in mAnswer.
+  Streamed,   // The replica's whole answer went to the sink.
+  NotRun,     // The replica has not run the call and never will.
+  Failed,     // The call may have run; there is no usable answer.
+  Expired,    // The deadline passed; the call may have run.
+  CallerGone, // The caller left, or the sink refused; the call was cancelled.
+};
+
+struct ExchangeResult
+{
+  ExchangeStatus mStatus = ExchangeStatus::Failed;
+  bool mSent = false; // The replica may have received the call.
+  WholeAnswer mAnswer;
+  std::string mDetail; // For the log.
+};
+
+// Receives an answer while it arrives. Both functions return false to cancel the call.
+class StreamSink
+{
+public:
+  virtual ~StreamSink() = default;
+  virtual boost::asio::awaitable<bool> OnHeader(boost::beast::http::response_header<> aHeader) = 0;
+  virtual boost::asio::awaitable<bool> OnBytes(std::string_view aBytes) = 0;
+};
+
+// Sends aRequest to the replica of aState and reads its answer until aDeadline. A successful answer
+// goes to aSink if there is one. Closes the connection to the replica if the caller leaves, so that
+// the replica drops the call. Never sends a call twice.
+boost::asio::awaitable<ExchangeResult>
+RunExchange(Context& aContext,
+            CallerLink& aLink,
+            ReplicaStatePtr aState,
+            CallerRequest aRequest,
+            const std::string& aAttempt,
+            base::TimePoint aDeadline,
+            StreamSink* aSink);
+
+}
--- /dev/null
+++ b/modules/gateway/src/replica_pool.cpp
@@ -0,0 +1,121 @@
+#include "replica_pool.h"
+
+#include "async.h"
+
+#include <algorithm>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <set>
+#include <utility>
+
+namespace sycamore::gateway {
+
+using base::Millis;
+
+// Reuse ends this much before the replica closes the connection: a call that crosses the close may
+// have run, so that it cannot be sent again. Covers a round trip between regions.
+static constexpr Millis kCloseMargin{ 400 };
+// Idle time after which a connection is not reused if the replica tells none.
+static constexpr Millis kDefaultIdleTimeout{ 4000 };
+// Time without acknowledgement after which the kernel reports a connection as lost.
+static constexpr Millis kSilenceTimeout{ 1000 };
+
+ReplicaStatePtr
+ReplicaPool::StateOf(const Replica& aReplica)
+{
+  ReplicaStatePtr& state = mStates[aReplica.mId];
+  const bool sameIncarnation = state && state->mReplica.mStartedUnixMs == aReplica.mStartedUnixMs &&
+                               state->mReplica.mEndpoint == aReplica.mEndpoint;
+  if (!sameIncarnation) {
+    state = std::make_shared<ReplicaState>();
+  }
+  state->mReplica = aReplica;
+  return state;
+}
+
+void
+ReplicaPool::Retain(const std::vector<std::string>& aListed)
+{
+  const std::set<std::string> listed(aListed.begin(), aListed.end());
+  std::erase_if(mStates, [&](const auto& aEntry) { return !listed.contains(aEntry.first); });
+}
+
+static ReplicaConnectionPtr
+TakeIdle(ReplicaState& aState)
+{
+  while (!aState.mIdle.empty()) {
+    ReplicaConnectionPtr connection = std::move(aState.mIdle.back());
+    aState.mIdle.pop_back();
+    if (base::Clock::now() < connection->mUsableUntil && IsQuiet(*connection)) {
+      connection->mReused = true;
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+boost::asio::awaitable<base::Result<ReplicaConnectionPtr>>
+ReplicaPool::Acquire(ReplicaStatePtr aState, Millis aTimeout)
+{
+  if (ReplicaConnectionPtr idle = TakeIdle(*aState)) {
+    co_return std::move(idle);
+  }
+  auto connection = std::make_unique<ReplicaConnection>(mExecutor);
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(aState->mReplica.mEndpoint.mAddress, error);
+  if (!error) {
+    connection->mStream.expires_after(aTimeout);
+    std::tie(error) = co_await connection->mStream.async_connect(
+      boost::asio::ip::tcp::endpoint(address, aState->mReplica.mEndpoint.mPort), kAsTuple);
+  }
+  if (error) {
+    co_return base::Error{ base::ErrorKind::TargetRefused, error.message(), "" };
+  }
+  ++mOpened;
+  DetectSilence(connection->mStream.socket(), kSilenceTimeout);
+  co_return std::move(connection);
+}
+
+void
+ReplicaPool::Release(ReplicaState& aState,
+                     ReplicaConnectionPtr aConnection,
+                     std::optional<Millis> aIdleTimeout)
+{
+  const Millis idle = aIdleTimeout.value_or(kDefaultIdleTimeout) - kCloseMargin;
+  if (idle <= Millis(0) || aConnection->mBuffer.size() != 0) {
+    return; // Left-over bytes belong to no call.
+  }
+  aConnection->mUsableUntil = base::Clock::now() + idle;
+  aConnection->mStream.expires_never();
+  aState.mIdle.push_back(std::move(aConnection));
+}
+
+ReplicaView
+ViewOf(const ReplicaState& aState, bool aSameRegion, bool aHasPrefix, base::TimePoint aNow)
+{
+  ReplicaView view;
+  view.mSlots = aState.mReplica.mSlots;
+  view.mInFlight = aState.mInFlight;
+  view.mLoad = aState.mLoad;
+  view.mLoadAge = std::chrono::duration_cast<Millis>(aNow - aState.mLoadAt);
+  view.mSameRegion = aSameRegion;
+  view.mHasPrefix = aHasPrefix;
+  view.mRecentFailures = aState.mRecentFailures;
+  view.mSinceFailure = std::chrono::duration_cast<Millis>(aNow - aState.mLastFailure);
+  return view;
+}
+
+void
+NoteSuccess(ReplicaState& aState)
+{
+  aState.mRecentFailures = 0;
+}
+
+void
+NoteFailure(ReplicaState& aState, base::TimePoint aNow)
+{
+  ++aState.mRecentFailures;
+  aState.mLastFailure = aNow;
+}
+
+}
--- /dev/null
+++ b/modules/gateway/src/stream_follower.cpp
@@ -0,0 +1,98 @@
+#include "stream_follower.h"
+
+#include "async.h"
+#include "sycamore/base/log.h"
+
+#include <optional>
+#include <utility>
+
+namespace sycamore::gateway {
+
+using base::LogEvent;
+
+// A read returns at once when there is a change; without one after this time. Short against the 3 s
+// within which a change must be in force, since a connection may go silent without notice.
+static constexpr base::Millis kReadWait{ 1000 };
+static constexpr base::Millis kReadTimeout{ 1700 };
+static constexpr base::Millis kSnapshotTimeout{ 1000 };
+// Pause after a failure: keeps the calls of all processes far below the store's limits.
+static constexpr base::Millis kRetryPause{ 150 };
+
+namespace {
+
+// Position in the stream and state of the store as this follower sees it.
+struct Position
+{
+  std::optional<uint64_t> mNext; // Nothing until a snapshot was read.
+  bool mFailing = false;
+};
+
+}
+
+static boost::asio::awaitable<void>
+Fail(Position& aPosition,
+     StreamName aStream,
+     const base::Error& aError,
+     const FollowerHandlers& aHandlers)
+{
+  if (!std::exchange(aPosition.mFailing, true)) {
+    base::Log(LogEvent::LogReadFailed,
+              "stream={} error=\"{}\"",
+              static_cast<int>(aStream),
+              aError.mMessage);
+  }
+  aHandlers.mOnFailure();
+  co_await SleepFor(kRetryPause);
+}
+
+static boost::asio::awaitable<void>
+ReadSnapshot(LogStore& aStore,
+             StreamName aStream,
+             Position& aPosition,
+             const FollowerHandlers& aHandlers)
+{
+  auto snapshot = co_await aStore.Newest(aStream, kSnapshotTimeout);
+  if (!base::IsOk(snapshot)) {
+    co_await Fail(aPosition, aStream, base::ErrorOf(snapshot), aHandlers);
+    co_return;
+  }
+  aPosition = { base::ValueOf(snapshot).mEnd, false };
+  aHandlers.mOnSnapshot(base::TakeValue(std::move(snapshot)));
+}
+
+static boost::asio::awaitable<void>
+ReadChanges(LogStore& aStore,
+            StreamName aStream,
+            Position& aPosition,
+            const FollowerHandlers& aHandlers)
+{
+  auto page = co_await aStore.Read(aStream, *aPosition.mNext, kReadWait, kReadTimeout);
+  if (!base::IsOk(page)) {
+    co_await Fail(aPosition, aStream, base::ErrorOf(page), aHandlers);
+    co_return;
+  }
+  StreamPage read = base::TakeValue(std::move(page));
+  if (read.mExpired) {
+    aPosition.mNext.reset();
+    co_return;
+  }
+  aPosition = { read.mNext, false };
+  for (StreamRecord& record : read.mRecords) {
+    aHandlers.mOnRecord(std::move(record));
+  }
+}
+
+boost::asio::awaitable<void>
+FollowStream(LogStore& aStore, StreamName aStream, FollowerHandlers aHandlers)
+{
+  Position position;
+  for (;;) {
+    if (position.mNext) {
+      co_await ReadChanges(aStore, aStream, position, aHandlers);
+    } else {
+      co_await ReadSnapshot(aStore, aStream, position, aHandlers);
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/modules/gateway/src/turn_output.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "sycamore/client/event_parser.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace sycamore::gateway {
+
+// Collects the events of a streamed answer: cuts it into whole events for the caller, and keeps
+// what later prompts contain of it.
+class TurnOutput
+{
+public:
+  // Adds received bytes; returns those that complete events, in order. Bytes of an event that is
+  // not complete are kept back.
+  std::string Add(std::string_view aBytes);
+
+  // Bytes kept back.
+  std::string TakeRest();
+
+  uint64_t EventCount() const { return mEventCount; }
+
+  // The data of each event, each followed by a line feed.
+  const std::string& History() const { return mHistory; }
+
+private:
+  client::EventParser mParser;
+  std::string mRest;
+  std::string mHistory;
+  uint64_t mEventCount = 0;
+};
+
+}
--- /dev/null
+++ b/modules/gateway/src/turn_runner.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "async.h"
+#include "call.h"
+#include "caller_link.h"
+#include "context.h"
+#include "dispatcher.h"
+#include "turn_output.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sycamore::gateway {
+
+// Runs one turn of a program: completes the prompt from the history, reserves the budget, streams
+// the answer and records the turn before the caller sees the end of it.
+//
+// The reservation is appended while the replica already works, if the budget has room as far as is
+// known here. No event reaches the caller before the reservation is granted, so that concurrent
+// turns at several gateways never exceed the budget together.
+class TurnRunner : public StreamSink
+{
+public:
+  TurnRunner(Context& aContext, CallerLink& aLink, Call& aCall);
+
+  // Answers the call. Returns the text of the outcome for the log.
+  boost::asio::awaitable<std::string> Run();
+
+  boost::asio::awaitable<bool> OnHeader(boost::beast::http::response_header<> aHeader) override;
+  boost::asio::awaitable<bool> OnBytes(std::string_view aBytes) override;
+
+private:
+  // Progress of the reservation; shared with the coroutine that appends it.
+  struct ReservationState
+  {
+    explicit ReservationState(const boost::asio::any_io_executor& aExecutor)
+      : mChanged(aExecutor)
+    {
+    }
+
+    bool mDone = false;
+    bool mGranted = false;
+    std::optional<base::Error> mError; // Why it is neither granted nor refused.
+    Signal mChanged;
+  };
+
+  boost::asio::awaitable<std::optional<base::Error>> MakePrompt();
+  boost::asio::awaitable<std::optional<base::Error>> CheckBudget();
+  boost::asio::awaitable<bool> ReservationGranted();
+  boost::asio::awaitable<std::string> Refuse(base::Error aError);
+  boost::asio::awaitable<std::string> Finish(DispatchResult aResult);
+  boost::asio::awaitable<std::string> Complete(const std::string& aReplica);
+  boost::asio::awaitable<bool> Commit(const std::string& aReplica);
+  static boost::asio::awaitable<void> Reserve(Context& aContext,
+                                              programs::AttemptReserved aEvent,
+                                              base::TimePoint aDeadline,
+                                              std::shared_ptr<ReservationState> aState);
+  void StartReservation();
+  void ReleaseReservation(uint64_t aTokens);
+  uint64_t TokensHandedOut() const;
+  bool HasBudget() const { return mCall.mHead.mBudgetTokens.has_value(); }
+
+  Context& mContext;
+  CallerLink& mLink;
+  Call& mCall;
+  std::string mPrompt;
+  std::string mPrefixReplica;
+  std::shared_ptr<ReservationState> mReservation;               // Null before it is started.
+  std::optional<boost::beast::http::response_header<>> mHeader; // Until it is sent.
+  TurnOutput mOutput;
+  bool mHeaderSent = false;
+};
+
+}
--- /dev/null
+++ b/modules/programs/src/program_book.cpp
@@ -0,0 +1,153 @@
+#include "sycamore/programs/program_book.h"
+
+#include <algorithm>
+#include <cassert>
+#include <vector>
+
+namespace sycamore::programs {
+
+// Added to every expiry, since the writer's clock may differ from the reader's by some seconds and
+// a client measures retention from the end of its answer.
+static constexpr base::Millis kClockSlack{ 30000 };
+// Time for which the budget of a program without a completed turn is remembered after its last
+// record. Longer than any retention that is configured today (60 s).
+static constexpr base::Millis kBudgetMemory{ 120000 };
+
+void
+ProgramBook::Apply(const ProgramRecord& aRecord)
+{
+  std::visit([&](const auto& aEvent) { ApplyEvent(aEvent, aRecord.mWrittenAt); }, aRecord.mEvent);
+}
+
+void
+ProgramBook::ApplyEvent(const AttemptReserved& aEvent, base::Millis aWrittenAt)
+{
+  Program& program = Touch(aEvent.mProgram, aWrittenAt + kBudgetMemory);
+  Attempt& attempt = program.mAttempts[aEvent.mAttempt];
+  if (attempt.mState != Reservation::Unknown) {
+    return;
+  }
+  if (program.mSpent + program.mReserved + aEvent.mMaxTokens > aEvent.mBudgetTokens) {
+    attempt.mState = Reservation::Refused;
+    return;
+  }
+  attempt = { Reservation::Granted, aEvent.mMaxTokens };
+  program.mReserved += aEvent.mMaxTokens;
+}
+
+void
+ProgramBook::ApplyEvent(const AttemptEnded& aEvent, base::Millis aWrittenAt)
+{
+  Settle(Touch(aEvent.mProgram, aWrittenAt + kBudgetMemory), aEvent.mAttempt, aEvent.mTokens);
+}
+
+void
+ProgramBook::ApplyEvent(const TurnCompleted& aEvent, base::Millis aWrittenAt)
+{
+  const base::Millis expires = aWrittenAt + aEvent.mRetention + kClockSlack;
+  Settle(Touch(aEvent.mProgram, std::max(expires, aWrittenAt + kBudgetMemory)),
+         aEvent.mAttempt,
+         aEvent.mTokens);
+  const auto [position, added] = mTurns.try_emplace(aEvent.mAttempt);
+  if (!added) {
+    return;
+  }
+  position->second = { aEvent.mProgram, aEvent.mPrevious, aEvent.mInput,
+                       aEvent.mOutput,  aEvent.mReplica,  expires };
+  ExtendChain(aEvent.mPrevious, expires);
+}
+
+ProgramBook::Program&
+ProgramBook::Touch(const std::string& aProgram, base::Millis aExpires)
+{
+  Program& program = mPrograms[aProgram];
+  program.mExpires = std::max(program.mExpires, aExpires);
+  return program;
+}
+
+void
+ProgramBook::Settle(Program& aProgram, const std::string& aAttempt, uint64_t aTokens)
+{
+  Attempt& attempt = aProgram.mAttempts[aAttempt];
+  if (attempt.mState == Reservation::Ended) {
+    return;
+  }
+  if (attempt.mState == Reservation::Granted) {
+    assert(aProgram.mReserved >= attempt.mMaxTokens);
+    aProgram.mReserved -= attempt.mMaxTokens;
+  }
+  aProgram.mSpent += aTokens;
+  attempt = { Reservation::Ended, 0 };
+}
+
+void
+ProgramBook::ExtendChain(const std::string& aAttempt, base::Millis aExpires)
+{
+  for (auto turn = mTurns.find(aAttempt); turn != mTurns.end();
+       turn = mTurns.find(turn->second.mPrevious)) {
+    if (turn->second.mExpires >= aExpires) {
+      return; // Earlier turns of the chain live at least as long.
+    }
+    turn->second.mExpires = aExpires;
+  }
+}
+
+Reservation
+ProgramBook::ReservationOf(const std::string& aProgram, const std::string& aAttempt) const
+{
+  const auto program = mPrograms.find(aProgram);
+  if (program == mPrograms.end()) {
+    return Reservation::Unknown;
+  }
+  const auto attempt = program->second.mAttempts.find(aAttempt);
+  return attempt == program->second.mAttempts.end() ? Reservation::Unknown : attempt->second.mState;
+}
+
+bool
+ProgramBook::HasRoom(const std::string& aProgram, uint64_t aBudgetTokens, uint64_t aMaxTokens) const
+{
+  const auto program = mPrograms.find(aProgram);
+  const uint64_t used =
+    program == mPrograms.end() ? 0 : program->second.mSpent + program->second.mReserved;
+  return used + aMaxTokens <= aBudgetTokens;
+}
+
+const Turn*
+ProgramBook::FindTurn(const std::string& aAttempt) const
+{
+  const auto turn = mTurns.find(aAttempt);
+  return turn == mTurns.end() ? nullptr : &turn->second;
+}
+
+std::optional<std::string>
+ProgramBook::Prompt(const std::string& aPrevious, const std::string& aInput) const
+{
+  std::vector<const Turn*> chain;
+  size_t bytes = aInput.size();
+  for (const std::string* id = &aPrevious; !id->empty(); id = &chain.back()->mPrevious) {
+    const Turn* turn = FindTurn(*id);
+    if (turn == nullptr) {
+      return std::nullopt;
+    }
+    chain.push_back(turn);
+    bytes += turn->mInput.size() + turn->mOutput.size();
+  }
+  std::string prompt;
+  prompt.reserve(bytes);
+  for (auto turn = chain.rbegin(); turn != chain.rend(); ++turn) {
+    prompt += (*turn)->mInput;
+    prompt += (*turn)->mOutput;
+  }
+  prompt += aInput;
+  return prompt;
+}
+
+size_t
+ProgramBook::Expire(base::Millis aNow)
+{
+  const auto expired = [aNow](const auto& aEntry) { return aEntry.second.mExpires < aNow; };
+  std::erase_if(mPrograms, expired);
+  return std::erase_if(mTurns, expired);
+}
+
+}
--- a/modules/settings/include/sycamore/settings/settings.h
+++ b/modules/settings/include/sycamore/settings/settings.h
@@ -6,6 +6,7 @@
 #include "sycamore/world/target.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -16,6 +17,7 @@
 {
   Entry,
   Sidecar,
+  Gateway,
 };
 
 // A target that a sidecar serves.
@@ -34,14 +36,17 @@
   std::string mInstance;
   std::string mRegion;
   std::string mDomain;
-  http::Endpoint mHttp;                        // Callers (entry); dump and metrics (both).
-  http::Endpoint mPeer;                        // Other processes of the system.
-  std::optional<http::Endpoint> mLog;          // Entry: required.
-  std::optional<http::Endpoint> mInstanceList; // Entry: required.
-  std::optional<http::Endpoint> mWeightStore;  // Sidecar with engines: required.
-  std::vector<world::Link> mLinks;             // Entry.
-  std::vector<TargetSettings> mTargets;        // Sidecar: at least one.
-  uint32_t mPartitions = 8;                    // Entry; the same in all entries.
+  http::Endpoint mHttp;                               // Callers (entry); dump and metrics (both).
+  http::Endpoint mPeer;                               // Other processes of the system.
+  std::optional<http::Endpoint> mLog;                 // Entry: required.
+  std::optional<http::Endpoint> mInstanceList;        // Entry: required.
+  std::optional<http::Endpoint> mWeightStore;         // Sidecar with engines: required.
+  std::optional<http::Endpoint> mStore;               // Gateway: required; the platform's store.
+  std::optional<http::Endpoint> mReadiness;           // Gateway: required; asked by the balancer.
+  std::map<std::string, std::string> mRegionOfDomain; // Gateway: where replicas are.
+  std::vector<world::Link> mLinks;                    // Entry.
+  std::vector<TargetSettings> mTargets;               // Sidecar: at least one.
+  uint32_t mPartitions = 8;                           // Entry; the same in all entries.
   double mAppendsPerSecond = 300;
   base::Millis mRetention{ 24 * 3600 * 1000LL };
   base::Millis mOwnerTimeout{ 3000 };
--- a/modules/settings/src/object_reader.cpp
+++ b/modules/settings/src/object_reader.cpp
@@ -72,6 +72,26 @@
   aOut = std::string(*text);
 }
 
+void
+ObjectReader::Names(std::string_view aKey, std::map<std::string, std::string>& aOut)
+{
+  const boost::json::value* value = Find(aKey, Presence::Optional);
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->is_object()) {
+    Fault(aKey, "must be an object");
+    return;
+  }
+  for (const auto& [name, text] : value->get_object()) {
+    if (!text.is_string()) {
+      Fault(fmt::format("{}/{}", aKey, std::string_view(name)), "must be a string");
+    } else {
+      aOut[std::string(name)] = std::string(text.get_string());
+    }
+  }
+}
+
 std::optional<size_t>
 ObjectReader::Choice(std::string_view aKey,
                      Presence aPresence,
--- a/modules/settings/src/object_reader.h
+++ b/modules/settings/src/object_reader.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <concepts>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -45,6 +46,8 @@
                                Presence aPresence,
                                const std::vector<std::string_view>& aChoices);
 
+  // An object whose members are all names, e.g. the region of each domain.
+  void Names(std::string_view aKey, std::map<std::string, std::string>& aOut);
   void Boolean(std::string_view aKey, bool& aOut);
 
   void Real(std::string_view aKey, double aMin, double aMax, double& aOut);
--- a/modules/settings/src/parse.cpp
+++ b/modules/settings/src/parse.cpp
@@ -2,6 +2,7 @@
 
 #include "object_reader.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <limits>
 #include <set>
@@ -16,6 +17,9 @@
 static constexpr Millis kHour{ 60 * kMinute };
 static constexpr Millis kDay{ 24 * kHour };
 
+// Time that a process needs to end after its last call, before it is killed.
+static constexpr Millis kStopMargin{ 700 };
+
 static constexpr std::string_view kOrderings[] = { "remaining", "attained", "fifo" };
 static constexpr std::string_view kRoutings[] = { "cache", "load" };
 static constexpr std::string_view kLogLevels[] = { "debug", "info", "warning", "error" };
@@ -35,11 +39,12 @@
 static std::optional<Role>
 ReadRole(ObjectReader& aReader)
 {
-  const auto index = aReader.Choice("role", Presence::Required, { "entry", "sidecar" });
+  const auto index = aReader.Choice("role", Presence::Required, { "entry", "sidecar", "gateway" });
   if (!index) {
     return std::nullopt;
   }
-  return *index == 0 ? Role::Entry : Role::Sidecar;
+  static constexpr Role kRoles[] = { Role::Entry, Role::Sidecar, Role::Gateway };
+  return kRoles[*index];
 }
 
 static void
@@ -115,6 +120,10 @@
   const Presence forEntry = entry ? Presence::Required : Presence::Optional;
   aReader.Endpoint("log", forEntry, aOut.mLog);
   aReader.Endpoint("instance_list", forEntry, aOut.mInstanceList);
+  const Presence forGateway = aRole == Role::Gateway ? Presence::Required : Presence::Optional;
+  aReader.Endpoint("store", forGateway, aOut.mStore);
+  aReader.Endpoint("readiness", forGateway, aOut.mReadiness);
+  aReader.Names("regions", aOut.mRegionOfDomain);
   ReadLinks(aReader, aOut);
   ReadTargets(aReader, aOut);
   bool hasEngine = false;
@@ -134,7 +143,7 @@
   if (aRole == Role::Sidecar && empty) {
     aReader.Fault("targets", "must name at least one target; a sidecar serves targets");
   }
-  if (aRole == Role::Entry && !empty) {
+  if (aRole != Role::Sidecar && !empty) {
     aReader.Fault("targets", "must be absent; only a sidecar serves targets");
   }
 }
@@ -152,6 +161,12 @@
   aReader.Duration("instance_list_poll_ms", Millis(10), kMinute, aOut.mInstanceListPoll);
   aReader.Duration("default_deadline_ms", Millis(100), kDay, aOut.mDefaultDeadline);
   aReader.Duration("drain_limit_ms", Millis(100), kDay, aOut.mDrainLimit);
+  double graceSeconds = 0;
+  aReader.Real("stop_grace_s", 1, 86400, graceSeconds);
+  if (graceSeconds > 0) {
+    const Millis grace(static_cast<int64_t>(graceSeconds * 1000));
+    aOut.mDrainLimit = std::min(aOut.mDrainLimit, grace - kStopMargin);
+  }
 }
 
 static void
