Reach the store through other gateways; refuse at once while no way works

Gateways announce themselves in a keyed stream and make calls for each other over FlatBuffers frames. A path that fails is tried again with growing pauses. One read serves all calls that wait for the end of the stream.

Ruled out for the slow recovery: the machines' start (0.5 s) and the configuration (known after 0.25 s).

--- a/modules/gateway/include/sycamore/gateway/log_store.h
+++ b/modules/gateway/include/sycamore/gateway/log_store.h
@@ -28,6 +28,14 @@
   std::optional<std::string> mValue; // Nothing: the key was dropped.
 };
 
+// What a read asks for.
+struct ReadRange
+{
+  uint64_t mFrom = 0;
+  base::Millis mWait{ 0 };      // For a record, if there is none.
+  uint32_t mMaxKilobytes = 512; // Of one answer.
+};
+
 // Records that follow each other in a stream.
 struct StreamPage
 {
@@ -66,10 +74,8 @@
                               std::string aValue,
                               base::Millis aTimeout) = 0;
 
-  // Reads from aFrom; waits at most aWait for a record if there is none.
   virtual Async<StreamPage> Read(StreamName aStream,
-                                 uint64_t aFrom,
-                                 base::Millis aWait,
+                                 ReadRange aRange,
                                  base::Millis aTimeout) = 0;
 
   // Reads the newest record of each key.
--- a/modules/gateway/src/context.h
+++ b/modules/gateway/src/context.h
@@ -2,6 +2,7 @@
 
 #include "program_log.h"
 #include "replica_pool.h"
+#include "store_paths.h"
 #include "sycamore/gateway/edge.h"
 #include "sycamore/gateway/log_store.h"
 #include "sycamore/gateway/replica_list.h"
@@ -17,9 +18,10 @@
 // What the parts of one gateway share on its event loop.
 struct Context
 {
-  Context(const boost::asio::any_io_executor& aExecutor, LogStore& aStore, const Edge& aEdge)
+  Context(const boost::asio::any_io_executor& aExecutor, StorePaths& aStore, const Edge& aEdge)
     : mExecutor(aExecutor)
     , mEdge(aEdge)
+    , mStore(aStore)
     , mPool(aExecutor)
     , mPrograms(aExecutor, aStore)
   {
@@ -34,6 +36,7 @@
 
   boost::asio::any_io_executor mExecutor;
   const Edge& mEdge;
+  StorePaths& mStore;
   std::string mRegion;
   std::map<std::string, std::string> mRegionOfDomain;
   std::shared_ptr<const RouteTable> mRoutes; // Null until the configuration is known.
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -4,6 +4,8 @@
 #include "call_runner.h"
 #include "caller_session.h"
 #include "context.h"
+#include "membership.h"
+#include "relay_server.h"
 #include "stream_follower.h"
 #include "sycamore/base/log.h"
 #include "sycamore/base/random.h"
@@ -32,6 +34,8 @@
 // Pause after a connection could not be accepted, for example for lack of descriptors.
 static constexpr Millis kAcceptPause{ 50 };
 static constexpr int kListenBacklog = 512;
+// Without the store no turn can be completed; other gateways may still reach it.
+static constexpr Millis kStoreLostAfter{ 1000 };
 // How often the connections of replicas that are gone are dropped.
 static constexpr base::Seconds kCleanupInterval{ 5 };
 
@@ -41,9 +45,10 @@
   Impl(const settings::Settings& aSettings, GatewayAdapters aAdapters)
     : mSettings(aSettings)
     , mAdapters(std::move(aAdapters))
-    , mStore(mAdapters.mMakeLogStore(mLoop.get_executor()))
-    , mContext(mLoop.get_executor(), *mStore, *mAdapters.mEdge)
+    , mStore(mLoop.get_executor(), mAdapters.mMakeLogStore(mLoop.get_executor()))
+    , mContext(mLoop.get_executor(), mStore, *mAdapters.mEdge)
     , mCallers(mLoop)
+    , mPeers(mLoop)
     , mReadiness(mLoop)
   {
     mContext.mRegion = mSettings.mRegion;
@@ -68,6 +73,7 @@
   base::Result<base::Unit> Bind(tcp::acceptor& aAcceptor, const http::Endpoint& aEndpoint);
   boost::asio::awaitable<void> Accept(tcp::acceptor& aAcceptor, const CallHandler& aHandler);
   boost::asio::awaitable<void> AnswerReadiness(CallerLink& aLink, CallerRequest aRequest);
+  boost::asio::awaitable<void> AcceptPeers();
   boost::asio::awaitable<void> Cleanup();
   boost::asio::awaitable<void> Drain();
   void Spawn(boost::asio::awaitable<void> aTask);
@@ -81,12 +87,13 @@
   const settings::Settings mSettings;
   const GatewayAdapters mAdapters;
   boost::asio::io_context mLoop{ 1 };
-  std::unique_ptr<LogStore> mStore;
+  StorePaths mStore;
   Context mContext;
   SessionPolicy mPolicy;
   CallHandler mCallHandler;
   CallHandler mReadinessHandler;
   tcp::acceptor mCallers;
+  tcp::acceptor mPeers;
   tcp::acceptor mReadiness;
   std::vector<std::weak_ptr<CallerSession>> mSessions;
   std::thread mThread;
@@ -128,7 +135,9 @@
 base::Result<base::Unit>
 Gateway::Impl::Start()
 {
-  for (auto result : { Bind(mCallers, mSettings.mHttp), Bind(mReadiness, *mSettings.mReadiness) }) {
+  for (auto result : { Bind(mCallers, mSettings.mHttp),
+                       Bind(mReadiness, *mSettings.mReadiness),
+                       Bind(mPeers, mSettings.mPeer) }) {
     if (!base::IsOk(result)) {
       return result;
     }
@@ -139,6 +148,8 @@
   FollowReplicas();
   Spawn(mContext.mPrograms.Run());
   Spawn(Cleanup());
+  Spawn(AcceptPeers());
+  Spawn(KeepMembership(mStore, mSettings.mInstance, mSettings.mPeer));
   mThread = std::thread([this] { mLoop.run(); });
   return base::Unit{};
 }
@@ -160,10 +171,26 @@
   }
 }
 
+boost::asio::awaitable<void>
+Gateway::Impl::AcceptPeers()
+{
+  for (;;) {
+    auto [error, socket] = co_await mPeers.async_accept(kAsTuple);
+    if (error) {
+      base::Log(LogEvent::HttpError, "accept of a peer: {}", error.message());
+      co_await SleepFor(kAcceptPause);
+      continue;
+    }
+    boost::asio::co_spawn(
+      mLoop, ServeRelay(std::move(socket), mStore.DirectForPeers()), boost::asio::detached);
+  }
+}
+
 bool
 Gateway::Impl::Ready() const
 {
-  return mContext.mRoutes && mContext.mPrograms.Loaded() && !mContext.mStopping;
+  const bool storeLost = !mStore.Reachable() && mStore.SinceSuccess() > kStoreLostAfter;
+  return mContext.mRoutes && mContext.mPrograms.Loaded() && !mContext.mStopping && !storeLost;
 }
 
 boost::asio::awaitable<void>
@@ -191,7 +218,7 @@
   };
   handlers.mOnRecord = [this](StreamRecord aRecord) { TakeConfiguration(aRecord); };
   handlers.mOnFailure = [] {};
-  Spawn(FollowStream(*mStore, StreamName::Configuration, std::move(handlers)));
+  Spawn(FollowStream(mStore, StreamName::Configuration, std::move(handlers)));
 }
 
 void
@@ -226,7 +253,7 @@
   handlers.mOnSnapshot = [this](StreamSnapshot aSnapshot) { TakeReplicas(std::move(aSnapshot)); };
   handlers.mOnRecord = [this](StreamRecord aRecord) { TakeReplica(std::move(aRecord)); };
   handlers.mOnFailure = [this] { mContext.mReplicas.NoteStoreFailure(base::Clock::now()); };
-  Spawn(FollowStream(*mStore, StreamName::Replicas, std::move(handlers)));
+  Spawn(FollowStream(mStore, StreamName::Replicas, std::move(handlers)));
 }
 
 void
--- a/modules/gateway/src/program_log.cpp
+++ b/modules/gateway/src/program_log.cpp
@@ -18,9 +18,10 @@
 // Pause between two reads of a busy stream: several records come with one paid call.
 static constexpr Millis kReadInterval{ 25 };
 static constexpr Millis kRetryPause{ 150 };
-// Limit and pause of reads on behalf of a waiting call. Far regions take 75 ms.
+// Limit of a page while the history is loaded: a far region reads about a megabyte in a second.
+static constexpr Millis kLoadTimeout{ 4000 };
+// Limit of a read on behalf of a waiting call. Far regions take 75 ms.
 static constexpr Millis kCatchUpTimeout{ 600 };
-static constexpr Millis kCatchUpPause{ 100 };
 // How often expired turns are looked for.
 static constexpr base::Seconds kExpiryInterval{ 5 };
 
@@ -55,7 +56,8 @@
   base::TimePoint nextExpiry = base::Clock::now() + kExpiryInterval;
   for (;;) {
     const uint64_t before = mNext;
-    const auto read = co_await ReadOnce(kReadWait, kReadTimeout);
+    const ReadRange range{ mNext, mLoaded ? kReadWait : Millis(0) };
+    const auto read = co_await ReadOnce(range, mLoaded ? kReadTimeout : kLoadTimeout);
     if (!base::IsOk(read)) {
       co_await SleepFor(kRetryPause);
     } else if (mNext != before && mLoaded) {
@@ -69,9 +71,9 @@
 }
 
 boost::asio::awaitable<base::Result<base::Unit>>
-ProgramLog::ReadOnce(Millis aWait, Millis aTimeout)
+ProgramLog::ReadOnce(ReadRange aRange, Millis aTimeout)
 {
-  auto page = co_await mStore.Read(StreamName::Programs, mNext, aWait, aTimeout);
+  auto page = co_await mStore.Read(StreamName::Programs, aRange, aTimeout);
   if (!base::IsOk(page)) {
     if (!std::exchange(mFailing, true)) {
       base::Log(LogEvent::LogReadFailed,
@@ -115,22 +117,29 @@
 boost::asio::awaitable<base::Result<base::Unit>>
 ProgramLog::CatchUp(base::TimePoint aDeadline)
 {
-  base::Error error{ base::ErrorKind::LogUnavailable, "the log did not answer in time", "" };
-  while (TimeLeft(aDeadline) > Millis(0)) {
-    auto page = co_await mStore.Read(
-      StreamName::Programs, mNext, Millis(0), std::min(TimeLeft(aDeadline), kCatchUpTimeout));
-    if (!base::IsOk(page)) {
-      mFailing = true;
-      error.mMessage = base::ErrorOf(page).mMessage;
-      co_await SleepFor(std::min(kCatchUpPause, std::max(TimeLeft(aDeadline), Millis(0))));
+  // A read that is under way may have passed the store already.
+  const uint64_t needed = mFreshStarted + 1;
+  while (mLoaded && mFreshDone < needed && TimeLeft(aDeadline) > Millis(0)) {
+    if (mFreshStarted > mFreshEnded) {
+      co_await mApplied.WaitUntil(aDeadline);
       continue;
     }
-    ApplyPage(base::ValueOf(page));
-    if (mNext >= base::ValueOf(page).mEnd) {
-      co_return base::Unit{};
+    const uint64_t ticket = ++mFreshStarted;
+    const ReadRange range{ mNext, Millis(0) };
+    const auto read = co_await ReadOnce(range, std::min(TimeLeft(aDeadline), kCatchUpTimeout));
+    mFreshEnded = ticket;
+    mFreshDone = base::IsOk(read) ? ticket : mFreshDone;
+    mApplied.NotifyAll();
+    if (!base::IsOk(read)) {
+      co_return base::ErrorOf(read);
     }
   }
-  co_return error;
+  if (mFreshDone >= needed) {
+    co_return base::Unit{};
+  }
+  co_return base::Error{ base::ErrorKind::LogUnavailable,
+                         mLoaded ? "the log was not read in time" : "the history is being loaded",
+                         "" };
 }
 
 boost::asio::awaitable<base::Result<uint64_t>>
--- a/modules/gateway/src/program_log.h
+++ b/modules/gateway/src/program_log.h
@@ -33,7 +33,7 @@
   bool Failing() const { return mFailing; }
 
   // Applies all records that are in the stream at the time of the call. LogUnavailable if the store
-  // does not answer before aDeadline.
+  // does not answer before aDeadline, or while the history is being loaded.
   boost::asio::awaitable<base::Result<base::Unit>> CatchUp(base::TimePoint aDeadline);
 
   // Appends aEvent; returns its offset once the store has it. Tries again until aDeadline, since a
@@ -48,7 +48,7 @@
 private:
   void ApplyPage(const StreamPage& aPage);
   void ApplyRecord(uint64_t aOffset, const std::string& aBytes);
-  boost::asio::awaitable<base::Result<base::Unit>> ReadOnce(base::Millis aWait,
+  boost::asio::awaitable<base::Result<base::Unit>> ReadOnce(ReadRange aRange,
                                                             base::Millis aTimeout);
   void ApplyAppended(uint64_t aOffset, const std::vector<std::string>& aRecords);
 
@@ -56,6 +56,10 @@
   LogStore& mStore;
   programs::ProgramBook mBook;
   uint64_t mNext = 0; // Offset of the next record to apply.
+  // Reads by CatchUp are numbered from 1; one runs at a time and serves all that wait for it.
+  uint64_t mFreshStarted = 0;
+  uint64_t mFreshEnded = 0;
+  uint64_t mFreshDone = 0; // The last one that succeeded.
   bool mLoaded = false;
   bool mFailing = false;
   Signal mApplied; // Each time mNext advances.
--- /dev/null
+++ b/modules/gateway/src/relay_client.cpp
@@ -0,0 +1,159 @@
+#include "relay_client.h"
+
+#include "async.h"
+#include "frame_io.h"
+#include "relay_codec.h"
+#include "replica_connection.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <sys/socket.h>
+#include <utility>
+
+namespace sycamore::gateway {
+
+using base::ErrorKind;
+using base::Millis;
+
+// Limit of a new connection: the farthest peer answers in 65 ms.
+static constexpr Millis kConnectTimeout{ 250 };
+// Time that an answer takes from the peer beyond the store's own.
+static constexpr Millis kWayBack{ 100 };
+static constexpr Millis kSilenceTimeout{ 1000 };
+
+RelayClient::RelayClient(const boost::asio::any_io_executor& aExecutor, http::Endpoint aPeer)
+  : mExecutor(aExecutor)
+  , mPeer(std::move(aPeer))
+{
+}
+
+static bool
+IsOpen(boost::beast::tcp_stream& aStream)
+{
+  char byte = 0;
+  const ssize_t received =
+    ::recv(aStream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+LogStore::Async<RelayClient::Connection>
+RelayClient::Connect(base::TimePoint aDeadline)
+{
+  while (!mIdle.empty()) {
+    Connection idle = std::move(mIdle.back());
+    mIdle.pop_back();
+    if (IsOpen(*idle)) {
+      co_return std::move(idle);
+    }
+  }
+  auto connection = std::make_unique<boost::beast::tcp_stream>(mExecutor);
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(mPeer.mAddress, error);
+  if (!error) {
+    connection->expires_at(std::min(aDeadline, base::Clock::now() + kConnectTimeout));
+    std::tie(error) = co_await connection->async_connect(
+      boost::asio::ip::tcp::endpoint(address, mPeer.mPort), kAsTuple);
+  }
+  if (error) {
+    co_return base::Error{ ErrorKind::LogUnavailable, "peer: " + error.message(), "" };
+  }
+  DetectSilence(connection->socket(), kSilenceTimeout);
+  co_return std::move(connection);
+}
+
+LogStore::Async<wire::RelayResponseT>
+RelayClient::Call(wire::RelayRequestT aRequest, Millis aTimeout)
+{
+  const base::TimePoint deadline = base::Clock::now() + aTimeout + kWayBack;
+  aRequest.timeout_ms = static_cast<uint32_t>(aTimeout.count());
+  auto connected = co_await Connect(deadline);
+  if (!base::IsOk(connected)) {
+    co_return base::ErrorOf(connected);
+  }
+  Connection connection = base::TakeValue(std::move(connected));
+  connection->expires_at(deadline);
+  std::string frame = FrameRequest(aRequest);
+  const bool sent = co_await WriteFrame(*connection, std::move(frame));
+  std::optional<std::string> answer;
+  if (sent) {
+    answer = co_await ReadFrame(*connection);
+  }
+  auto response = answer ? ParseResponse(*answer) : std::nullopt;
+  if (!response) {
+    co_return base::Error{ ErrorKind::OutcomeUnknown, "the peer did not answer", "" };
+  }
+  connection->expires_never();
+  mIdle.push_back(std::move(connection));
+  co_return std::move(*response);
+}
+
+static wire::RelayRequestT
+RequestOf(wire::RelayOperation aOperation, StreamName aStream)
+{
+  wire::RelayRequestT request;
+  request.operation = aOperation;
+  request.stream = static_cast<uint8_t>(aStream);
+  return request;
+}
+
+static void
+AddRecord(const std::string& aRecord, wire::RelayRequestT& aOut)
+{
+  auto bytes = std::make_unique<wire::RelayBytesT>();
+  bytes->bytes.assign(aRecord.begin(), aRecord.end());
+  aOut.records.push_back(std::move(bytes));
+}
+
+LogStore::Async<uint64_t>
+RelayClient::Append(StreamName aStream, std::vector<std::string> aRecords, Millis aTimeout)
+{
+  wire::RelayRequestT request = RequestOf(wire::RelayOperation::Append, aStream);
+  for (const std::string& record : aRecords) {
+    AddRecord(record, request);
+  }
+  const auto response = co_await Call(std::move(request), aTimeout);
+  if (!base::IsOk(response)) {
+    co_return base::ErrorOf(response);
+  }
+  co_return OffsetOf(base::ValueOf(response));
+}
+
+LogStore::Async<uint64_t>
+RelayClient::Put(StreamName aStream, std::string aKey, std::string aValue, Millis aTimeout)
+{
+  wire::RelayRequestT request = RequestOf(wire::RelayOperation::Put, aStream);
+  request.key = std::move(aKey);
+  AddRecord(aValue, request);
+  const auto response = co_await Call(std::move(request), aTimeout);
+  if (!base::IsOk(response)) {
+    co_return base::ErrorOf(response);
+  }
+  co_return OffsetOf(base::ValueOf(response));
+}
+
+LogStore::Async<StreamPage>
+RelayClient::Read(StreamName aStream, ReadRange aRange, Millis aTimeout)
+{
+  wire::RelayRequestT request = RequestOf(wire::RelayOperation::Read, aStream);
+  request.from = aRange.mFrom;
+  request.wait_ms = static_cast<uint32_t>(aRange.mWait.count());
+  request.max_kb = aRange.mMaxKilobytes;
+  const auto response = co_await Call(std::move(request), aTimeout);
+  if (!base::IsOk(response)) {
+    co_return base::ErrorOf(response);
+  }
+  co_return PageOf(base::ValueOf(response));
+}
+
+LogStore::Async<StreamSnapshot>
+RelayClient::Newest(StreamName aStream, Millis aTimeout)
+{
+  const auto response =
+    co_await Call(RequestOf(wire::RelayOperation::Newest, aStream), aTimeout);
+  if (!base::IsOk(response)) {
+    co_return base::ErrorOf(response);
+  }
+  co_return SnapshotOf(base::ValueOf(response));
+}
+
+}
--- /dev/null
+++ b/modules/gateway/src/relay_codec.cpp
@@ -0,0 +1,176 @@
+#include "relay_codec.h"
+
+#include <boost/endian/conversion.hpp>
+#include <flatbuffers/flatbuffers.h>
+#include <utility>
+
+namespace sycamore::gateway {
+
+using base::ErrorKind;
+
+template<typename Table, typename Object>
+static std::string
+Frame(const Object& aMessage)
+{
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(Table::Pack(builder, &aMessage));
+  std::string frame(4, '\0');
+  boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(frame.data()), builder.GetSize());
+  frame.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+  return frame;
+}
+
+template<typename Table, typename Object>
+static std::optional<Object>
+Parse(std::string_view aBytes)
+{
+  // The verifier requires aligned data, which a slice of a buffer does not guarantee.
+  const std::vector<uint8_t> aligned(aBytes.begin(), aBytes.end());
+  flatbuffers::Verifier verifier(aligned.data(), aligned.size());
+  if (!verifier.VerifyBuffer<Table>(nullptr)) {
+    return std::nullopt;
+  }
+  Object message;
+  flatbuffers::GetRoot<Table>(aligned.data())->UnPackTo(&message);
+  return message;
+}
+
+std::string
+FrameRequest(const wire::RelayRequestT& aMessage)
+{
+  return Frame<wire::RelayRequest>(aMessage);
+}
+
+std::string
+FrameResponse(const wire::RelayResponseT& aMessage)
+{
+  return Frame<wire::RelayResponse>(aMessage);
+}
+
+std::optional<wire::RelayRequestT>
+ParseRequest(std::string_view aBytes)
+{
+  return Parse<wire::RelayRequest, wire::RelayRequestT>(aBytes);
+}
+
+std::optional<wire::RelayResponseT>
+ParseResponse(std::string_view aBytes)
+{
+  return Parse<wire::RelayResponse, wire::RelayResponseT>(aBytes);
+}
+
+static wire::RelayResponseT
+FailureMessage(const base::Error& aError)
+{
+  wire::RelayResponseT message;
+  message.failure = aError.mMessage.empty() ? "unknown" : aError.mMessage;
+  message.may_have_effect = aError.mKind == ErrorKind::OutcomeUnknown;
+  return message;
+}
+
+static void
+AddRecords(const std::vector<StreamRecord>& aRecords, wire::RelayResponseT& aOut)
+{
+  for (const StreamRecord& record : aRecords) {
+    auto entry = std::make_unique<wire::RelayRecordT>();
+    entry->offset = record.mOffset;
+    entry->key = record.mKey;
+    if (record.mValue) {
+      entry->value = std::make_unique<wire::RelayBytesT>();
+      entry->value->bytes.assign(record.mValue->begin(), record.mValue->end());
+    }
+    aOut.records.push_back(std::move(entry));
+  }
+}
+
+wire::RelayResponseT
+ToMessage(const base::Result<uint64_t>& aResult)
+{
+  if (!base::IsOk(aResult)) {
+    return FailureMessage(base::ErrorOf(aResult));
+  }
+  wire::RelayResponseT message;
+  message.offset = base::ValueOf(aResult);
+  return message;
+}
+
+wire::RelayResponseT
+ToMessage(const base::Result<StreamPage>& aResult)
+{
+  if (!base::IsOk(aResult)) {
+    return FailureMessage(base::ErrorOf(aResult));
+  }
+  const StreamPage& page = base::ValueOf(aResult);
+  wire::RelayResponseT message;
+  message.end = page.mEnd;
+  message.next = page.mNext;
+  message.expired = page.mExpired;
+  AddRecords(page.mRecords, message);
+  return message;
+}
+
+wire::RelayResponseT
+ToMessage(const base::Result<StreamSnapshot>& aResult)
+{
+  if (!base::IsOk(aResult)) {
+    return FailureMessage(base::ErrorOf(aResult));
+  }
+  wire::RelayResponseT message;
+  message.end = base::ValueOf(aResult).mEnd;
+  AddRecords(base::ValueOf(aResult).mRecords, message);
+  return message;
+}
+
+static std::optional<base::Error>
+FailureOf(const wire::RelayResponseT& aMessage)
+{
+  if (aMessage.failure.empty()) {
+    return std::nullopt;
+  }
+  const auto kind =
+    aMessage.may_have_effect ? ErrorKind::OutcomeUnknown : ErrorKind::LogUnavailable;
+  return base::Error{ kind, aMessage.failure, "" };
+}
+
+static std::vector<StreamRecord>
+RecordsOf(const wire::RelayResponseT& aMessage)
+{
+  std::vector<StreamRecord> records;
+  for (const auto& entry : aMessage.records) {
+    StreamRecord record{ entry->offset, entry->key, std::nullopt };
+    if (entry->value) {
+      record.mValue.emplace(entry->value->bytes.begin(), entry->value->bytes.end());
+    }
+    records.push_back(std::move(record));
+  }
+  return records;
+}
+
+base::Result<uint64_t>
+OffsetOf(const wire::RelayResponseT& aMessage)
+{
+  if (auto failure = FailureOf(aMessage)) {
+    return std::move(*failure);
+  }
+  return aMessage.offset;
+}
+
+base::Result<StreamPage>
+PageOf(const wire::RelayResponseT& aMessage)
+{
+  if (auto failure = FailureOf(aMessage)) {
+    return std::move(*failure);
+  }
+  return StreamPage{ aMessage.end, aMessage.next, aMessage.expired, RecordsOf(aMessage) };
+}
+
+base::Result<StreamSnapshot>
+SnapshotOf(const wire::RelayResponseT& aMessage)
+{
+  if (auto failure = FailureOf(aMessage)) {
+    return std::move(*failure);
+  }
+  return StreamSnapshot{ aMessage.end, RecordsOf(aMessage) };
+}
+
+}
--- /dev/null
+++ b/modules/gateway/src/relay_server.cpp
@@ -0,0 +1,93 @@
+#include "relay_server.h"
+
+#include "async.h"
+#include "frame_io.h"
+#include "relay_codec.h"
+#include "replica_connection.h"
+#include "sycamore/base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamore::gateway {
+
+using base::Millis;
+
+// A connection without calls is closed by its other end first.
+static constexpr base::Seconds kIdleTimeout{ 30 };
+// Bound of the time that another process may ask for.
+static constexpr uint32_t kLongestTimeoutMs = 5000;
+
+static std::optional<StreamName>
+StreamOf(uint8_t aNumber)
+{
+  if (aNumber > static_cast<uint8_t>(StreamName::Members)) {
+    return std::nullopt;
+  }
+  return static_cast<StreamName>(aNumber);
+}
+
+static std::string
+TextOf(const wire::RelayBytesT& aBytes)
+{
+  return { aBytes.bytes.begin(), aBytes.bytes.end() };
+}
+
+static boost::asio::awaitable<wire::RelayResponseT>
+Perform(LogStore& aStore, const wire::RelayRequestT& aRequest)
+{
+  const Millis timeout(std::min(aRequest.timeout_ms, kLongestTimeoutMs));
+  const auto stream = StreamOf(aRequest.stream);
+  if (!stream) {
+    const base::Result<uint64_t> unknown =
+      base::Error{ base::ErrorKind::LogUnavailable, "unknown stream", "" };
+    co_return ToMessage(unknown);
+  }
+  std::vector<std::string> records;
+  for (const auto& record : aRequest.records) {
+    records.push_back(TextOf(*record));
+  }
+  switch (aRequest.operation) {
+    case wire::RelayOperation::Append:
+      co_return ToMessage(co_await aStore.Append(*stream, std::move(records), timeout));
+    case wire::RelayOperation::Put: {
+      std::string value = records.empty() ? std::string() : std::move(records.front());
+      co_return ToMessage(
+        co_await aStore.Put(*stream, aRequest.key, std::move(value), timeout));
+    }
+    case wire::RelayOperation::Read: {
+      const ReadRange range{ aRequest.from, Millis(aRequest.wait_ms), aRequest.max_kb };
+      co_return ToMessage(co_await aStore.Read(*stream, range, timeout));
+    }
+    case wire::RelayOperation::Newest:
+      break;
+  }
+  co_return ToMessage(co_await aStore.Newest(*stream, timeout));
+}
+
+boost::asio::awaitable<void>
+ServeRelay(boost::asio::ip::tcp::socket aSocket, LogStore& aStore)
+{
+  boost::beast::tcp_stream stream(std::move(aSocket));
+  DetectSilence(stream.socket(), Millis(kIdleTimeout));
+  for (;;) {
+    stream.expires_after(kIdleTimeout);
+    const auto frame = co_await ReadFrame(stream);
+    if (!frame) {
+      co_return;
+    }
+    const auto request = ParseRequest(*frame);
+    if (!request) {
+      base::Log(base::LogEvent::PeerProtocolError, "a relayed call cannot be read");
+      co_return;
+    }
+    const wire::RelayResponseT response = co_await Perform(aStore, *request);
+    stream.expires_after(kIdleTimeout);
+    const bool sent = co_await WriteFrame(stream, FrameResponse(response));
+    if (!sent) {
+      co_return;
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/modules/gateway/src/store_paths.cpp
@@ -0,0 +1,236 @@
+#include "store_paths.h"
+
+#include "sycamore/base/log.h"
+
+#include <algorithm>
+
+namespace sycamore::gateway {
+
+using base::ErrorKind;
+using base::Millis;
+
+// While a path fails it is tried again after this time, doubled up to the longest: refused calls are
+// paid for as well.
+static constexpr Millis kFirstPause{ 100 };
+static constexpr Millis kLongestPause{ 600 };
+static constexpr uint32_t kMostDoublings = 3;
+// Limit of a call on a path that failed before. A silent path must not hold up the others for long;
+// a far store answers within 80 ms.
+static constexpr Millis kProbeTimeout{ 350 };
+// Other gateways that one call is tried through.
+static constexpr size_t kPeersPerCall = 2;
+
+StorePaths::StorePaths(const boost::asio::any_io_executor& aExecutor,
+                       std::unique_ptr<LogStore> aDirect)
+  : mExecutor(aExecutor)
+  , mDirect(std::make_shared<Path>())
+  , mGuarded(*this)
+  , mLastSuccess(base::Clock::now())
+{
+  mDirect->mStore = std::move(aDirect);
+}
+
+void
+StorePaths::SetPeers(const std::map<std::string, http::Endpoint>& aPeers)
+{
+  std::erase_if(mPeers, [&](const auto& aEntry) {
+    const auto peer = aPeers.find(aEntry.first);
+    return peer == aPeers.end() || peer->second != aEntry.second.first;
+  });
+  for (const auto& [instance, endpoint] : aPeers) {
+    if (!mPeers.contains(instance)) {
+      auto path = std::make_shared<Path>();
+      path->mStore = std::make_unique<RelayClient>(mExecutor, endpoint);
+      mPeers.emplace(instance, std::make_pair(endpoint, std::move(path)));
+    }
+  }
+}
+
+Millis
+StorePaths::SinceSuccess() const
+{
+  return std::chrono::duration_cast<Millis>(base::Clock::now() - mLastSuccess);
+}
+
+// Whether aPath may be tried now. A try while it fails takes the turn of others for a while.
+template<typename Path>
+static bool
+TakeTurn(Path& aPath)
+{
+  if (aPath.mFailures == 0) {
+    return true;
+  }
+  const base::TimePoint now = base::Clock::now();
+  if (now < aPath.mNextTry) {
+    return false;
+  }
+  const uint32_t doublings = std::min(aPath.mFailures - 1, kMostDoublings);
+  aPath.mNextTry = now + std::min(kFirstPause * (1U << doublings), kLongestPause);
+  return true;
+}
+
+template<typename T>
+LogStore::Async<T>
+StorePaths::OnPath(Path& aPath, const Operation<T>& aOperation, Millis aTimeout)
+{
+  const Millis timeout = aPath.mFailures > 0 ? std::min(aTimeout, kProbeTimeout) : aTimeout;
+  auto result = co_await aOperation(*aPath.mStore, timeout);
+  if (base::IsOk(result)) {
+    aPath.mFailures = 0;
+  } else {
+    ++aPath.mFailures;
+  }
+  co_return result;
+}
+
+template<typename T>
+LogStore::Async<T>
+StorePaths::OnDirect(Operation<T> aOperation, Millis aTimeout)
+{
+  if (!TakeTurn(*mDirect)) {
+    co_return base::Error{ ErrorKind::LogUnavailable, "the store fails for this machine", "" };
+  }
+  const bool worked = mDirect->mFailures == 0;
+  auto result = co_await OnPath<T>(*mDirect, aOperation, aTimeout);
+  const bool works = mDirect->mFailures == 0;
+  if (works != worked) {
+    base::Log(works ? base::LogEvent::LogAppendRecovered : base::LogEvent::LogAppendFailed,
+              "path=direct {}",
+              works ? "works again" : base::ErrorOf(result).mMessage);
+  }
+  co_return result;
+}
+
+std::vector<std::shared_ptr<StorePaths::Path>>
+StorePaths::PeersToTry()
+{
+  std::vector<std::shared_ptr<Path>> paths;
+  const auto add = [&](const auto& aEntry) {
+    if (paths.size() < kPeersPerCall && TakeTurn(*aEntry.second.second)) {
+      paths.push_back(aEntry.second.second);
+    }
+  };
+  const auto last = mPeers.find(mLastPeer);
+  if (last != mPeers.end()) {
+    add(*last);
+  }
+  for (const auto& entry : mPeers) {
+    if (entry.first != mLastPeer) {
+      add(entry);
+    }
+  }
+  return paths;
+}
+
+template<typename T>
+LogStore::Async<T>
+StorePaths::OnAnyPath(Operation<T> aOperation, Millis aTimeout)
+{
+  auto result = co_await OnDirect<T>(aOperation, aTimeout);
+  // A call that may have had its effect on one way is safe to repeat on another: see RecordWriter.
+  bool mayHaveEffect = false;
+  if (!base::IsOk(result)) {
+    mayHaveEffect = base::ErrorOf(result).mKind == ErrorKind::OutcomeUnknown;
+    for (const std::shared_ptr<Path>& path : PeersToTry()) {
+      result = co_await OnPath<T>(*path, aOperation, aTimeout);
+      if (base::IsOk(result)) {
+        const auto peer = std::find_if(mPeers.begin(), mPeers.end(), [&](const auto& aEntry) {
+          return aEntry.second.second == path;
+        });
+        mLastPeer = peer == mPeers.end() ? "" : peer->first;
+        break;
+      }
+      mayHaveEffect =
+        mayHaveEffect || base::ErrorOf(result).mKind == ErrorKind::OutcomeUnknown;
+    }
+  }
+  if (base::IsOk(result)) {
+    mReachable = true;
+    mLastSuccess = base::Clock::now();
+    co_return result;
+  }
+  mReachable = false;
+  base::Error error = base::ErrorOf(result);
+  error.mKind = mayHaveEffect ? ErrorKind::OutcomeUnknown : ErrorKind::LogUnavailable;
+  co_return error;
+}
+
+LogStore::Async<uint64_t>
+StorePaths::Append(StreamName aStream, std::vector<std::string> aRecords, Millis aTimeout)
+{
+  Operation<uint64_t> operation = [aStream, records = std::move(aRecords)](LogStore& aStore,
+                                                                           Millis aLimit) {
+    return aStore.Append(aStream, records, aLimit);
+  };
+  return OnAnyPath<uint64_t>(std::move(operation), aTimeout);
+}
+
+LogStore::Async<uint64_t>
+StorePaths::Put(StreamName aStream, std::string aKey, std::string aValue, Millis aTimeout)
+{
+  Operation<uint64_t> operation = [aStream, key = std::move(aKey), value = std::move(aValue)](
+                                    LogStore& aStore, Millis aLimit) {
+    return aStore.Put(aStream, key, value, aLimit);
+  };
+  return OnAnyPath<uint64_t>(std::move(operation), aTimeout);
+}
+
+LogStore::Async<StreamPage>
+StorePaths::Read(StreamName aStream, ReadRange aRange, Millis aTimeout)
+{
+  Operation<StreamPage> operation = [aStream, aRange](LogStore& aStore, Millis aLimit) {
+    ReadRange range = aRange;
+    range.mWait = std::min(range.mWait, aLimit / 2);
+    return aStore.Read(aStream, range, aLimit);
+  };
+  return OnAnyPath<StreamPage>(std::move(operation), aTimeout);
+}
+
+LogStore::Async<StreamSnapshot>
+StorePaths::Newest(StreamName aStream, Millis aTimeout)
+{
+  Operation<StreamSnapshot> operation = [aStream](LogStore& aStore, Millis aLimit) {
+    return aStore.Newest(aStream, aLimit);
+  };
+  return OnAnyPath<StreamSnapshot>(std::move(operation), aTimeout);
+}
+
+LogStore::Async<uint64_t>
+StorePaths::Guarded::Append(StreamName aStream, std::vector<std::string> aRecords, Millis aTimeout)
+{
+  Operation<uint64_t> operation = [aStream, records = std::move(aRecords)](LogStore& aStore,
+                                                                           Millis aLimit) {
+    return aStore.Append(aStream, records, aLimit);
+  };
+  return mPaths.OnDirect<uint64_t>(std::move(operation), aTimeout);
+}
+
+LogStore::Async<uint64_t>
+StorePaths::Guarded::Put(StreamName aStream, std::string aKey, std::string aValue, Millis aTimeout)
+{
+  Operation<uint64_t> operation = [aStream, key = std::move(aKey), value = std::move(aValue)](
+                                    LogStore& aStore, Millis aLimit) {
+    return aStore.Put(aStream, key, value, aLimit);
+  };
+  return mPaths.OnDirect<uint64_t>(std::move(operation), aTimeout);
+}
+
+LogStore::Async<StreamPage>
+StorePaths::Guarded::Read(StreamName aStream, ReadRange aRange, Millis aTimeout)
+{
+  Operation<StreamPage> operation = [aStream, aRange](LogStore& aStore, Millis aLimit) {
+    return aStore.Read(aStream, aRange, aLimit);
+  };
+  return mPaths.OnDirect<StreamPage>(std::move(operation), aTimeout);
+}
+
+LogStore::Async<StreamSnapshot>
+StorePaths::Guarded::Newest(StreamName aStream, Millis aTimeout)
+{
+  Operation<StreamSnapshot> operation = [aStream](LogStore& aStore, Millis aLimit) {
+    return aStore.Newest(aStream, aLimit);
+  };
+  return mPaths.OnDirect<StreamSnapshot>(std::move(operation), aTimeout);
+}
+
+}
--- a/modules/gateway/src/stream_follower.cpp
+++ b/modules/gateway/src/stream_follower.cpp
@@ -66,7 +66,8 @@
             Position& aPosition,
             const FollowerHandlers& aHandlers)
 {
-  auto page = co_await aStore.Read(aStream, *aPosition.mNext, kReadWait, kReadTimeout);
+  const ReadRange range{ *aPosition.mNext, kReadWait };
+  auto page = co_await aStore.Read(aStream, range, kReadTimeout);
   if (!base::IsOk(page)) {
     co_await Fail(aPosition, aStream, base::ErrorOf(page), aHandlers);
     co_return;
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -48,13 +48,19 @@
 boost::asio::awaitable<std::optional<base::Error>>
 TurnRunner::MakePrompt()
 {
+  if (!mContext.mPrograms.Loaded()) {
+    co_return base::Error{ ErrorKind::LogUnavailable, "the history is being loaded", "" };
+  }
+  if (!mContext.mStore.Reachable()) {
+    co_return base::Error{ ErrorKind::LogUnavailable, "the store cannot be reached", "" };
+  }
   if (!mCall.mHead.mPreviousTurn) {
     mPrompt = mCall.mRequest.body();
     co_return std::nullopt;
   }
   const std::string& previous = *mCall.mHead.mPreviousTurn;
   auto prompt = mContext.mPrograms.Book().Prompt(previous, mCall.mRequest.body());
-  if (!prompt || !mContext.mPrograms.Loaded()) {
+  if (!prompt) {
     const auto limit = std::min(mCall.mDeadline, base::Clock::now() + kLogPatience);
     const auto caughtUp = co_await mContext.mPrograms.CatchUp(limit);
     prompt = mContext.mPrograms.Book().Prompt(previous, mCall.mRequest.body());
@@ -79,7 +85,7 @@
       head.mProgram, *head.mBudgetTokens, head.mMaxOutputTokens);
   };
   StartReservation();
-  const bool optimistic = hasRoom() && mContext.mPrograms.Loaded() && !mContext.mPrograms.Failing();
+  const bool optimistic = hasRoom() && !mContext.mPrograms.Failing();
   if (optimistic) {
     co_return std::nullopt;
   }
