--- a/modules/gateway/include/sycamore/gateway/log_store.h
+++ b/modules/gateway/include/sycamore/gateway/log_store.h
@@ -74,9 +74,7 @@
                               std::string aValue,
                               base::Millis aTimeout) = 0;
 
-  virtual Async<StreamPage> Read(StreamName aStream,
-                                 ReadRange aRange,
-                                 base::Millis aTimeout) = 0;
+  virtual Async<StreamPage> Read(StreamName aStream, ReadRange aRange, base::Millis aTimeout) = 0;
 
   // Reads the newest record of each key.
   virtual Async<StreamSnapshot> Newest(StreamName aStream, base::Millis aTimeout) = 0;
--- a/modules/gateway/src/call_runner.cpp
+++ b/modules/gateway/src/call_runner.cpp
@@ -111,7 +111,6 @@
   Call call;
   call.mArrived = base::Clock::now();
   call.mRequest = std::move(aRequest);
-  ++aContext.mOpenCalls;
   std::string outcome;
   if (const auto error = Accept(aContext, call)) {
     co_await SendRefusal(aLink, call, *error);
@@ -122,7 +121,6 @@
   } else {
     outcome = co_await RunSingle(aContext, aLink, call);
   }
-  --aContext.mOpenCalls;
   const auto took = std::chrono::duration_cast<Millis>(base::Clock::now() - call.mArrived);
   base::Log(base::LogEvent::CallFinished,
             "attempt={} program={} route={} config={} took_ms={} outcome=\"{}\"",
--- a/modules/gateway/src/context.h
+++ b/modules/gateway/src/context.h
@@ -44,7 +44,6 @@
   ReplicaPool mPool;
   ProgramLog mPrograms;
   bool mStopping = false;
-  uint64_t mOpenCalls = 0;
   uint64_t mTieBreak = 0; // Spreads the choices of this process; see ChooseReplica.
 };
 
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -76,6 +76,7 @@
   boost::asio::awaitable<void> AcceptPeers();
   boost::asio::awaitable<void> Cleanup();
   boost::asio::awaitable<void> Drain();
+  bool SessionsOpen() const;
   void Spawn(boost::asio::awaitable<void> aTask);
   void FollowConfiguration();
   void FollowReplicas();
@@ -157,16 +158,21 @@
 boost::asio::awaitable<void>
 Gateway::Impl::Accept(tcp::acceptor& aAcceptor, const CallHandler& aHandler)
 {
-  while (aAcceptor.is_open()) {
+  for (;;) {
     auto [error, socket] = co_await aAcceptor.async_accept(kAsTuple);
+    if (error == boost::asio::error::operation_aborted) {
+      co_return; // The process is stopping.
+    }
     if (error) {
       base::Log(LogEvent::HttpError, "accept: {}", error.message());
       co_await SleepFor(kAcceptPause);
       continue;
     }
     const auto session = std::make_shared<CallerSession>(std::move(socket), mPolicy, aHandler);
-    std::erase_if(mSessions, [](const auto& aSession) { return aSession.expired(); });
-    mSessions.push_back(session);
+    if (&aAcceptor == &mCallers) {
+      std::erase_if(mSessions, [](const auto& aSession) { return aSession.expired(); });
+      mSessions.push_back(session);
+    }
     boost::asio::co_spawn(mLoop, session->Run(), boost::asio::detached);
   }
 }
@@ -313,12 +319,19 @@
       session->FinishSoon();
     }
   }
-  while (mContext.mOpenCalls > 0) {
+  while (SessionsOpen()) {
     co_await SleepFor(kDrainPoll);
   }
   mDrained = true;
 }
 
+bool
+Gateway::Impl::SessionsOpen() const
+{
+  return std::any_of(
+    mSessions.begin(), mSessions.end(), [](const auto& aSession) { return !aSession.expired(); });
+}
+
 bool
 Gateway::Impl::Drained() const
 {
--- a/modules/gateway/src/membership.cpp
+++ b/modules/gateway/src/membership.cpp
@@ -22,8 +22,7 @@
 {
   const std::string address = ToString(aPeer);
   for (;;) {
-    const auto put =
-      co_await aStore.Put(StreamName::Members, aInstance, address, kCallTimeout);
+    const auto put = co_await aStore.Put(StreamName::Members, aInstance, address, kCallTimeout);
     if (base::IsOk(put)) {
       co_return;
     }
--- a/modules/gateway/src/relay_client.cpp
+++ b/modules/gateway/src/relay_client.cpp
@@ -148,8 +148,7 @@
 LogStore::Async<StreamSnapshot>
 RelayClient::Newest(StreamName aStream, Millis aTimeout)
 {
-  const auto response =
-    co_await Call(RequestOf(wire::RelayOperation::Newest, aStream), aTimeout);
+  const auto response = co_await Call(RequestOf(wire::RelayOperation::Newest, aStream), aTimeout);
   if (!base::IsOk(response)) {
     co_return base::ErrorOf(response);
   }
--- a/modules/gateway/src/relay_server.cpp
+++ b/modules/gateway/src/relay_server.cpp
@@ -52,8 +52,7 @@
       co_return ToMessage(co_await aStore.Append(*stream, std::move(records), timeout));
     case wire::RelayOperation::Put: {
       std::string value = records.empty() ? std::string() : std::move(records.front());
-      co_return ToMessage(
-        co_await aStore.Put(*stream, aRequest.key, std::move(value), timeout));
+      co_return ToMessage(co_await aStore.Put(*stream, aRequest.key, std::move(value), timeout));
     }
     case wire::RelayOperation::Read: {
       const ReadRange range{ aRequest.from, Millis(aRequest.wait_ms), aRequest.max_kb };
--- a/modules/gateway/src/store_paths.cpp
+++ b/modules/gateway/src/store_paths.cpp
@@ -9,8 +9,8 @@
 using base::ErrorKind;
 using base::Millis;
 
-// While a path fails it is tried again after this time, doubled up to the longest: refused calls are
-// paid for as well.
+// While a path fails it is tried again after this time, doubled up to the longest: refused calls
+// are paid for as well.
 static constexpr Millis kFirstPause{ 100 };
 static constexpr Millis kLongestPause{ 600 };
 static constexpr uint32_t kMostDoublings = 3;
@@ -140,8 +140,7 @@
         mLastPeer = peer == mPeers.end() ? "" : peer->first;
         break;
       }
-      mayHaveEffect =
-        mayHaveEffect || base::ErrorOf(result).mKind == ErrorKind::OutcomeUnknown;
+      mayHaveEffect = mayHaveEffect || base::ErrorOf(result).mKind == ErrorKind::OutcomeUnknown;
     }
   }
   if (base::IsOk(result)) {
@@ -168,10 +167,10 @@
 LogStore::Async<uint64_t>
 StorePaths::Put(StreamName aStream, std::string aKey, std::string aValue, Millis aTimeout)
 {
-  Operation<uint64_t> operation = [aStream, key = std::move(aKey), value = std::move(aValue)](
-                                    LogStore& aStore, Millis aLimit) {
-    return aStore.Put(aStream, key, value, aLimit);
-  };
+  Operation<uint64_t> operation =
+    [aStream, key = std::move(aKey), value = std::move(aValue)](LogStore& aStore, Millis aLimit) {
+      return aStore.Put(aStream, key, value, aLimit);
+    };
   return OnAnyPath<uint64_t>(std::move(operation), aTimeout);
 }
 
@@ -208,10 +207,10 @@
 LogStore::Async<uint64_t>
 StorePaths::Guarded::Put(StreamName aStream, std::string aKey, std::string aValue, Millis aTimeout)
 {
-  Operation<uint64_t> operation = [aStream, key = std::move(aKey), value = std::move(aValue)](
-                                    LogStore& aStore, Millis aLimit) {
-    return aStore.Put(aStream, key, value, aLimit);
-  };
+  Operation<uint64_t> operation =
+    [aStream, key = std::move(aKey), value = std::move(aValue)](LogStore& aStore, Millis aLimit) {
+      return aStore.Put(aStream, key, value, aLimit);
+    };
   return mPaths.OnDirect<uint64_t>(std::move(operation), aTimeout);
 }
 
--- a/modules/gateway/src/store_paths.h
+++ b/modules/gateway/src/store_paths.h
@@ -16,9 +16,9 @@
 
 namespace sycamore::gateway {
 
-// The store over whichever way works: directly, or through another gateway while the platform refuses
-// this machine or cannot be reached from it. While no way works, calls fail at once and only few are
-// spent on finding out when one works again. Lives on one event loop.
+// The store over whichever way works: directly, or through another gateway while the platform
+// refuses this machine or cannot be reached from it. While no way works, calls fail at once and
+// only few are spent on finding out when one works again. Lives on one event loop.
 class StorePaths : public LogStore
 {
 public:
@@ -51,8 +51,8 @@
   struct Path
   {
     std::unique_ptr<LogStore> mStore;
-    uint32_t mFailures = 0;        // Consecutive.
-    base::TimePoint mNextTry;      // While failing: earliest next call.
+    uint32_t mFailures = 0;   // Consecutive.
+    base::TimePoint mNextTry; // While failing: earliest next call.
   };
 
   // The direct path for peers: refuses at once while it is known to fail.
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -17,6 +17,9 @@
 
 // How long a call waits for the log before it is refused: the caller can still try another process.
 static constexpr Millis kLogPatience{ 900 };
+// A call is sent before its reservation is granted if the budget holds this many turns like it:
+// sub-agents of the same program may be reserving at other gateways at the same time.
+static constexpr uint64_t kTurnsOfRoom = 3;
 // How long the release of a reservation is tried; a program's caller comes back within seconds.
 static constexpr base::Seconds kReleaseLimit{ 20 };
 
@@ -80,12 +83,10 @@
 TurnRunner::CheckBudget()
 {
   const CallHead& head = mCall.mHead;
-  const auto hasRoom = [&] {
-    return mContext.mPrograms.Book().HasRoom(
-      head.mProgram, *head.mBudgetTokens, head.mMaxOutputTokens);
-  };
   StartReservation();
-  const bool optimistic = hasRoom() && !mContext.mPrograms.Failing();
+  const bool hasRoom = mContext.mPrograms.Book().HasRoom(
+    head.mProgram, *head.mBudgetTokens, head.mMaxOutputTokens * kTurnsOfRoom);
+  const bool optimistic = hasRoom && !mContext.mPrograms.Failing();
   if (optimistic) {
     co_return std::nullopt;
   }
--- /dev/null
+++ b/modules/gateway/tests/decisions_test.cpp
@@ -0,0 +1,149 @@
+#include "sycamore/gateway/replica_choice.h"
+#include "sycamore/gateway/replica_list.h"
+#include "sycamore/gateway/route_table.h"
+#include "turn_output.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/boost_test.h>
+
+namespace sycamore::gateway {
+
+static Route
+MakeRoute(const std::string& aName, const std::string& aPrefix)
+{
+  Route route;
+  route.mName = aName;
+  route.mHost = "a.example";
+  route.mPathPrefix = aPrefix;
+  route.mBackends = { { "s1", 90 }, { "s2", 10 } };
+  return route;
+}
+
+// Guards against a request that runs at the service of a less specific route.
+BOOST_AUTO_TEST_CASE(RouteWithTheLongestPrefixTakesThePath)
+{
+  RouteTable table;
+  table.mRoutes = { MakeRoute("short", "/a/"), MakeRoute("long", "/a/b/") };
+  BOOST_TEST(FindRoute(table, "a.example", "/a/b/c?x=/")->mName == "long");
+  BOOST_TEST(FindRoute(table, "A.example:80", "/a/c")->mName == "short");
+  BOOST_TEST(FindRoute(table, "b.example", "/a/b/") == nullptr);
+  BOOST_TEST(FindRoute(table, "a.example", "/a") == nullptr);
+}
+
+// Guards against a split that sends everything to one service.
+BOOST_AUTO_TEST_CASE(RouteSplitFollowsTheWeights)
+{
+  const Route route = MakeRoute("r", "/");
+  int second = 0;
+  for (int i = 0; i < 1000; ++i) {
+    second += ServiceFor(route, "key-" + std::to_string(i)) == "s2" ? 1 : 0;
+  }
+  BOOST_TEST(second > 50);
+  BOOST_TEST(second < 200);
+}
+
+// Guards against turns that leave the replica with their prefix although it has room.
+BOOST_AUTO_TEST_CASE(ReplicaWithThePrefixIsPreferredWhileItHasRoom)
+{
+  std::vector<ReplicaView> replicas(3);
+  for (ReplicaView& view : replicas) {
+    view.mSlots = 16;
+  }
+  replicas[1].mHasPrefix = true;
+  replicas[1].mInFlight = 8;
+  BOOST_TEST(ChooseReplica(replicas, 3000, 0).value() == 1U);
+  replicas[1].mInFlight = 60;
+  BOOST_TEST(ChooseReplica(replicas, 3000, 0).value() != 1U);
+}
+
+// Guards against calls that go on to a replica that just failed while others work.
+BOOST_AUTO_TEST_CASE(ReplicaThatJustFailedIsAvoided)
+{
+  std::vector<ReplicaView> replicas(2);
+  replicas[0].mRecentFailures = 1;
+  replicas[0].mSinceFailure = base::Millis(100);
+  replicas[1].mSameRegion = false;
+  replicas[0].mSlots = replicas[1].mSlots = 16;
+  BOOST_TEST(ChooseReplica(replicas, 0, 0).value() == 1U);
+  replicas[0].mSinceFailure = base::Millis(5000);
+  BOOST_TEST(ChooseReplica(replicas, 0, 0).value() == 0U);
+}
+
+// Guards against a choice that is not the best one for some tie break.
+RC_BOOST_PROP(ReplicaChoiceHasTheLeastExpectedDelay, ())
+{
+  std::vector<ReplicaView> replicas(*rc::gen::inRange<size_t>(1, 12));
+  for (ReplicaView& view : replicas) {
+    view.mSlots = *rc::gen::inRange<uint32_t>(1, 32);
+    view.mInFlight = *rc::gen::inRange<uint32_t>(0, 64);
+    view.mSameRegion = *rc::gen::arbitrary<bool>();
+    view.mHasPrefix = *rc::gen::arbitrary<bool>();
+    view.mRecentFailures = *rc::gen::inRange<uint32_t>(0, 6);
+    view.mSinceFailure = base::Millis(*rc::gen::inRange(0, 8000));
+  }
+  const uint64_t tokens = *rc::gen::inRange<uint64_t>(0, 10000);
+  const auto chosen = ChooseReplica(replicas, tokens, *rc::gen::arbitrary<uint64_t>());
+  RC_ASSERT(chosen.has_value());
+  for (const ReplicaView& view : replicas) {
+    RC_ASSERT(ExpectedDelay(replicas[*chosen], tokens) <= ExpectedDelay(view, tokens));
+  }
+}
+
+struct ReplicaListFixture
+{
+  ReplicaList mList;
+  base::TimePoint mNow = base::Clock::now();
+
+  static Replica MakeReplica(bool aLeaving)
+  {
+    Replica replica;
+    replica.mId = "i-1";
+    replica.mService = "s";
+    replica.mLeaving = aLeaving;
+    return replica;
+  }
+};
+
+// Guards against new work for a replica that leaves.
+BOOST_FIXTURE_TEST_CASE(ReplicaListLeavingOrRemovedReplicaIsNotUsable, ReplicaListFixture)
+{
+  mList.Update("i-1", MakeReplica(false), mNow);
+  BOOST_TEST(mList.Usable("s", mNow).size() == 1U);
+  mList.Update("i-1", MakeReplica(true), mNow);
+  BOOST_TEST(mList.Usable("s", mNow).empty());
+  mList.Update("i-1", MakeReplica(false), mNow);
+  mList.Update("i-1", std::nullopt, mNow);
+  BOOST_TEST(mList.Usable("s", mNow).empty());
+}
+
+// Guards against an outage of the store that takes all replicas away, and against a replica that
+// stays usable after it did not return.
+BOOST_FIXTURE_TEST_CASE(ReplicaListEntryLapsedInAnOutageStaysForAWhile, ReplicaListFixture)
+{
+  mList.Update("i-1", MakeReplica(false), mNow);
+  mList.NoteStoreFailure(mNow);
+  mList.Replace({}, mNow + base::Millis(500));
+  BOOST_TEST(mList.Usable("s", mNow + base::Millis(2000)).size() == 1U);
+  BOOST_TEST(mList.Usable("s", mNow + base::Millis(2800)).empty());
+  mList.Update("i-1", MakeReplica(false), mNow + base::Millis(2900));
+  BOOST_TEST(mList.Usable("s", mNow + base::Seconds(60)).size() == 1U);
+}
+
+// Guards against events that reach the caller in halves, and against a history that differs from
+// the data of the events.
+BOOST_AUTO_TEST_CASE(TurnOutputBytesInPiecesGiveWholeEvents)
+{
+  const std::string bytes = "id: 1\ndata: a b\n\nversion: 3\nid: 2\ndata: c\n\nid: 3\nda";
+  for (size_t cut = 0; cut < bytes.size(); ++cut) {
+    TurnOutput output;
+    std::string whole = output.Add(bytes.substr(0, cut));
+    whole += output.Add(bytes.substr(cut));
+    BOOST_TEST(whole == bytes.substr(0, bytes.size() - 8), cut);
+    BOOST_TEST(output.History() == "a b\nc\n");
+    BOOST_TEST(output.EventCount() == 2U);
+    BOOST_TEST(output.TakeRest() == "id: 3\nda");
+  }
+}
+
+}
--- /dev/null
+++ b/modules/gateway/tests/fake_log_store.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "async.h"
+#include "sycamore/gateway/log_store.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sycamore::gateway {
+
+// A log in memory with the faults of the platform's.
+class FakeLogStore : public LogStore
+{
+public:
+  Async<uint64_t> Append(StreamName aStream,
+                         std::vector<std::string> aRecords,
+                         base::Millis /*aTimeout*/) override
+  {
+    ++mAppends;
+    co_await SleepFor(mLatency);
+    if (mDown) {
+      co_return base::Error{ base::ErrorKind::LogUnavailable, "down", "" };
+    }
+    auto& stream = mStreams[aStream];
+    const uint64_t offset = stream.size();
+    stream.insert(stream.end(), aRecords.begin(), aRecords.end());
+    if (mLostAnswers > 0) {
+      --mLostAnswers;
+      co_return base::Error{ base::ErrorKind::OutcomeUnknown, "no answer", "" };
+    }
+    co_return offset;
+  }
+
+  Async<uint64_t> Put(StreamName aStream,
+                      std::string aKey,
+                      std::string aValue,
+                      base::Millis aTimeout) override
+  {
+    std::vector<std::string> records{ aKey + "=" + aValue };
+    return Append(aStream, std::move(records), aTimeout);
+  }
+
+  Async<StreamPage> Read(StreamName aStream, ReadRange aRange, base::Millis /*aTimeout*/) override
+  {
+    ++mReads;
+    co_await SleepFor(mLatency);
+    if (mDown) {
+      co_return base::Error{ base::ErrorKind::LogUnavailable, "down", "" };
+    }
+    const auto& stream = mStreams[aStream];
+    StreamPage page;
+    page.mEnd = stream.size();
+    page.mNext = aRange.mFrom;
+    while (page.mNext < page.mEnd) {
+      StreamRecord record{ page.mNext, "", stream[page.mNext] };
+      page.mRecords.push_back(std::move(record));
+      ++page.mNext;
+    }
+    co_return page;
+  }
+
+  Async<StreamSnapshot> Newest(StreamName /*aStream*/, base::Millis /*aTimeout*/) override
+  {
+    co_await SleepFor(mLatency);
+    if (mDown) {
+      co_return base::Error{ base::ErrorKind::LogUnavailable, "down", "" };
+    }
+    co_return StreamSnapshot{};
+  }
+
+  std::map<StreamName, std::vector<std::string>> mStreams;
+  base::Millis mLatency{ 1 };
+  bool mDown = false;
+  int mLostAnswers = 0; // Appends that take effect without an answer.
+  int mAppends = 0;
+  int mReads = 0;
+};
+
+}
--- /dev/null
+++ b/modules/gateway/tests/record_writer_test.cpp
@@ -0,0 +1,74 @@
+#include "record_writer.h"
+
+#include "fake_log_store.h"
+#include "loop_fixture.h"
+
+namespace sycamore::gateway {
+
+struct RecordWriterFixture : LoopFixture
+{
+  FakeLogStore mStore;
+  RecordWriter mWriter{ mLoop.get_executor(),
+                        mStore,
+                        StreamName::Programs,
+                        [](uint64_t, const std::vector<std::string>&) {} };
+  std::vector<base::Result<uint64_t>> mResults;
+
+  boost::asio::awaitable<void> Append(std::string aRecord, base::Millis aLimit)
+  {
+    auto result = co_await mWriter.Append(std::move(aRecord), base::Clock::now() + aLimit);
+    mResults.push_back(std::move(result));
+  }
+};
+
+// Guards against one call for each record: the store takes a fixed time for each call, so that a
+// burst would fill its queue for seconds.
+BOOST_FIXTURE_TEST_CASE(RecordWriterManyRecordsAtOnceTakeFewCalls, RecordWriterFixture)
+{
+  mStore.mLatency = base::Millis(20);
+  for (int i = 0; i < 200; ++i) {
+    Spawn(Append("r" + std::to_string(i), base::Seconds(10)));
+  }
+  RunUntil([&] { return mResults.size() == 200; });
+  BOOST_TEST(mStore.mStreams[StreamName::Programs].size() == 200U);
+  BOOST_TEST(mStore.mAppends <= 6);
+}
+
+// Guards against a record that is lost, or reported as failed, when only the answer was lost.
+BOOST_FIXTURE_TEST_CASE(RecordWriterLostAnswerIsRepeatedUntilAcknowledged, RecordWriterFixture)
+{
+  mStore.mLostAnswers = 1;
+  Spawn(Append("r", base::Seconds(10)));
+  RunUntil([&] { return mResults.size() == 1; });
+  BOOST_TEST_REQUIRE(base::IsOk(mResults[0]));
+  BOOST_TEST(base::ValueOf(mResults[0]) == 1U);
+  BOOST_TEST(mStore.mStreams[StreamName::Programs].size() == 2U);
+}
+
+// Guards against a storm of calls while the store is away: refused calls are paid for and delay its
+// return.
+BOOST_FIXTURE_TEST_CASE(RecordWriterStoreDownFailsWithFewCalls, RecordWriterFixture)
+{
+  mStore.mDown = true;
+  for (int i = 0; i < 50; ++i) {
+    Spawn(Append("r", base::Millis(500)));
+  }
+  RunUntil([&] { return mResults.size() == 50; });
+  for (const auto& result : mResults) {
+    BOOST_TEST_REQUIRE(!base::IsOk(result));
+    BOOST_TEST((base::ErrorOf(result).mKind == base::ErrorKind::LogUnavailable));
+  }
+  BOOST_TEST(mStore.mAppends <= 20);
+}
+
+// Guards against "certainly not appended" for a record that the store may have.
+BOOST_FIXTURE_TEST_CASE(RecordWriterUnansweredRecordIsUncertain, RecordWriterFixture)
+{
+  mStore.mLostAnswers = 1000;
+  Spawn(Append("r", base::Millis(200)));
+  RunUntil([&] { return mResults.size() == 1; });
+  BOOST_TEST_REQUIRE(!base::IsOk(mResults[0]));
+  BOOST_TEST((base::ErrorOf(mResults[0]).mKind == base::ErrorKind::OutcomeUnknown));
+}
+
+}
--- /dev/null
+++ b/modules/gateway/tests/store_paths_test.cpp
@@ -0,0 +1,106 @@
+#include "store_paths.h"
+
+#include "fake_log_store.h"
+#include "loop_fixture.h"
+#include "relay_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <optional>
+
+namespace sycamore::gateway {
+
+using boost::asio::ip::tcp;
+
+// A process with its own way to the store, and another one that serves it as a peer.
+struct StorePathsFixture : LoopFixture
+{
+  FakeLogStore* mOwn = new FakeLogStore;
+  StorePaths mPaths{ mLoop.get_executor(), std::unique_ptr<LogStore>(mOwn) };
+  FakeLogStore* mPeerStore = new FakeLogStore;
+  StorePaths mPeer{ mLoop.get_executor(), std::unique_ptr<LogStore>(mPeerStore) };
+  tcp::acceptor mAcceptor{ mLoop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0) };
+  std::optional<base::Result<uint64_t>> mAppended;
+  std::optional<base::Result<StreamPage>> mPage;
+
+  StorePathsFixture()
+  {
+    Spawn(Serve());
+    mPaths.SetPeers({ { "peer", { "127.0.0.1", mAcceptor.local_endpoint().port() } } });
+  }
+
+  boost::asio::awaitable<void> Serve()
+  {
+    for (;;) {
+      auto [error, socket] = co_await mAcceptor.async_accept(kAsTuple);
+      if (error) {
+        co_return;
+      }
+      Spawn(ServeRelay(std::move(socket), mPeer.DirectForPeers()));
+    }
+  }
+
+  boost::asio::awaitable<void> Append(std::string aRecord)
+  {
+    std::vector<std::string> records{ std::move(aRecord) };
+    mAppended = co_await mPaths.Append(StreamName::Programs, std::move(records), base::Millis(500));
+  }
+
+  boost::asio::awaitable<void> Read()
+  {
+    const ReadRange range{ 0, base::Millis(0) };
+    mPage = co_await mPaths.Read(StreamName::Programs, range, base::Millis(500));
+  }
+};
+
+// Guards against turns that cannot be completed while the platform refuses one machine only.
+BOOST_FIXTURE_TEST_CASE(StorePathsOwnWayDownUsesThePeer, StorePathsFixture)
+{
+  mOwn->mDown = true;
+  Spawn(Append(std::string("a\0b", 3)));
+  RunUntil([&] { return mAppended.has_value(); });
+  BOOST_TEST_REQUIRE(base::IsOk(*mAppended));
+  BOOST_TEST(mPeerStore->mStreams[StreamName::Programs].at(0) == std::string("a\0b", 3));
+  BOOST_TEST(mPaths.Reachable());
+  Spawn(Read());
+  RunUntil([&] { return mPage.has_value(); });
+  BOOST_TEST_REQUIRE(base::IsOk(*mPage));
+  BOOST_TEST(base::ValueOf(*mPage).mRecords.at(0).mValue.value() == std::string("a\0b", 3));
+}
+
+// Guards against calls that wait for the store while no way works: callers are told at once.
+BOOST_FIXTURE_TEST_CASE(StorePathsNoWayWorksIsUnreachableAndFailsFast, StorePathsFixture)
+{
+  mOwn->mDown = true;
+  mPeerStore->mDown = true;
+  Spawn(Append("a"));
+  RunUntil([&] { return mAppended.has_value(); });
+  BOOST_TEST(!base::IsOk(*mAppended));
+  BOOST_TEST(!mPaths.Reachable());
+  const int calls = mOwn->mAppends;
+  for (int i = 0; i < 20; ++i) {
+    mAppended.reset();
+    Spawn(Append("a"));
+    RunUntil([&] { return mAppended.has_value(); });
+  }
+  BOOST_TEST(mOwn->mAppends - calls <= 4);
+}
+
+// Guards against a store that stays unused after it returned.
+BOOST_FIXTURE_TEST_CASE(StorePathsAfterTheStoreReturnsUsesItAgain, StorePathsFixture)
+{
+  mOwn->mDown = true;
+  mPeerStore->mDown = true;
+  Spawn(Append("a"));
+  RunUntil([&] { return mAppended.has_value(); });
+  mOwn->mDown = false;
+  RunUntil([&] {
+    if (mAppended) {
+      mAppended.reset();
+      Spawn(Append("b"));
+    }
+    return mPaths.Reachable();
+  });
+  BOOST_TEST(mOwn->mStreams[StreamName::Programs].size() == 1U);
+}
+
+}
--- /dev/null
+++ b/modules/programs/tests/program_book_test.cpp
@@ -0,0 +1,144 @@
+#include "sycamore/programs/program_book.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <rapidcheck.h>
+#include <rapidcheck/boost_test.h>
+#include <vector>
+
+namespace sycamore::programs {
+
+struct ProgramBookFixture
+{
+  ProgramBook mBook;
+  base::Millis mNow{ 1000000 };
+
+  void Apply(ProgramEvent aEvent) { mBook.Apply({ mNow, std::move(aEvent) }); }
+
+  void Complete(const std::string& aAttempt,
+                const std::string& aPrevious,
+                const std::string& aInput,
+                const std::string& aOutput)
+  {
+    Apply(TurnCompleted{
+      aAttempt, "p", aPrevious, aInput, aOutput, 8, "replica-1", base::Millis(60000) });
+  }
+};
+
+// Guards against prompts that differ from what the replica was given before: a wrong byte makes the
+// engine continue another conversation.
+BOOST_FIXTURE_TEST_CASE(ProgramBookChainOfTurnsGivesInputsAndOutputsInOrder, ProgramBookFixture)
+{
+  Complete("t1", "", "in1", "out1\n");
+  Complete("t2", "t1", "in2", "out2\n");
+  Complete("t2b", "t1", "other", "branch\n");
+  BOOST_TEST(mBook.Prompt("t2", "in3").value() == "in1out1\nin2out2\nin3");
+  BOOST_TEST(mBook.Prompt("t2b", "x").value() == "in1out1\notherbranch\nx");
+  BOOST_TEST(mBook.Prompt("t1", "y").value() == "in1out1\ny");
+}
+
+// Guards against a prompt with a hole when an earlier turn is not known.
+BOOST_FIXTURE_TEST_CASE(ProgramBookChainWithUnknownTurnGivesNothing, ProgramBookFixture)
+{
+  Complete("t2", "t1", "in2", "out2\n");
+  BOOST_TEST(!mBook.Prompt("t2", "in3").has_value());
+  BOOST_TEST(!mBook.Prompt("t9", "in3").has_value());
+}
+
+// Guards against a chain whose first turns are forgotten while a later one may still be continued.
+BOOST_FIXTURE_TEST_CASE(ProgramBookContinuedTurnLivesAsLongAsItsSuccessor, ProgramBookFixture)
+{
+  Complete("t1", "", "in1", "out1\n");
+  Complete("lonely", "", "in", "out\n");
+  mNow += base::Millis(80000);
+  Complete("t2", "t1", "in2", "out2\n");
+  mBook.Expire(mNow + base::Millis(20000));
+  BOOST_TEST(mBook.Prompt("t2", "").has_value());
+  BOOST_TEST(mBook.FindTurn("lonely") == nullptr);
+}
+
+// Guards against a copy of an append that the store executes late: it must not change the history.
+BOOST_FIXTURE_TEST_CASE(ProgramBookSecondCopyOfATurnChangesNothing, ProgramBookFixture)
+{
+  Complete("t1", "", "in1", "out1\n");
+  Complete("t1", "", "in1", "out1\n");
+  BOOST_TEST(mBook.TurnCount() == 1U);
+  BOOST_TEST(mBook.HasRoom("p", 8 + 10, 10));
+  BOOST_TEST(!mBook.HasRoom("p", 8 + 9, 10));
+}
+
+// Guards against a reservation that arrives after its attempt has ended and would stay for good.
+BOOST_FIXTURE_TEST_CASE(ProgramBookReservationAfterTheEndHasNoEffect, ProgramBookFixture)
+{
+  Apply(AttemptEnded{ "a", "p", 0 });
+  Apply(AttemptReserved{ "a", "p", 100, 100 });
+  BOOST_TEST((mBook.ReservationOf("p", "a") == Reservation::Ended));
+  BOOST_TEST(mBook.HasRoom("p", 100, 100));
+}
+
+// Guards against concurrent turns that exceed the budget together: reservations count with their
+// most until they end.
+BOOST_FIXTURE_TEST_CASE(ProgramBookReservationsBeyondTheBudgetAreRefused, ProgramBookFixture)
+{
+  Apply(AttemptReserved{ "a", "p", 100, 60 });
+  Apply(AttemptReserved{ "b", "p", 100, 60 });
+  BOOST_TEST((mBook.ReservationOf("p", "a") == Reservation::Granted));
+  BOOST_TEST((mBook.ReservationOf("p", "b") == Reservation::Refused));
+  Apply(AttemptEnded{ "a", "p", 8 });
+  Apply(AttemptReserved{ "c", "p", 100, 60 });
+  BOOST_TEST((mBook.ReservationOf("p", "c") == Reservation::Granted));
+}
+
+BOOST_AUTO_TEST_SUITE(ProgramBookTest)
+
+// Guards against a budget that is exceeded in some order of reservations, ends and copies: granted
+// attempts never use more than they reserved, so that used and reserved tokens stay within the
+// budget.
+RC_BOOST_PROP(GrantedTokensNeverExceedTheBudget, ())
+{
+  const uint64_t budget = *rc::gen::inRange<uint64_t>(1, 400);
+  ProgramBook book;
+  std::map<std::string, uint64_t> most;
+  std::map<std::string, uint64_t> used;
+  std::vector<ProgramEvent> history;
+  const int steps = *rc::gen::inRange(1, 60);
+  for (int i = 0; i < steps; ++i) {
+    const std::string attempt = "a" + std::to_string(*rc::gen::inRange(0, 12));
+    ProgramEvent event;
+    if (!history.empty() && *rc::gen::inRange(0, 5) == 0) {
+      event = history[*rc::gen::inRange<size_t>(0, history.size())]; // A late copy.
+    } else if (*rc::gen::arbitrary<bool>()) {
+      event = AttemptReserved{ attempt, "p", budget, *rc::gen::inRange<uint64_t>(1, 120) };
+    } else {
+      const bool granted = book.ReservationOf("p", attempt) == Reservation::Granted;
+      const uint64_t tokens = granted ? *rc::gen::inRange<uint64_t>(0, most[attempt] + 1) : 0;
+      event = AttemptEnded{ attempt, "p", tokens };
+    }
+    history.push_back(event);
+    const auto* reserved = std::get_if<AttemptReserved>(&event);
+    const auto before =
+      reserved != nullptr ? book.ReservationOf("p", reserved->mAttempt) : Reservation::Ended;
+    const auto* ended = std::get_if<AttemptEnded>(&event);
+    const bool settles =
+      ended != nullptr && book.ReservationOf("p", ended->mAttempt) == Reservation::Granted;
+    book.Apply({ base::Millis(1), event });
+    if (reserved != nullptr && before == Reservation::Unknown &&
+        book.ReservationOf("p", reserved->mAttempt) == Reservation::Granted) {
+      most[reserved->mAttempt] = reserved->mMaxTokens;
+      used[reserved->mAttempt] = reserved->mMaxTokens;
+    }
+    if (settles) {
+      used[ended->mAttempt] = std::min(ended->mTokens, used[ended->mAttempt]);
+    }
+    uint64_t total = 0;
+    for (const auto& [id, tokens] : used) {
+      total += tokens;
+    }
+    RC_ASSERT(total <= budget);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
