--- a/modules/gateway/src/program_log.cpp
+++ b/modules/gateway/src/program_log.cpp
@@ -97,6 +97,7 @@
     }
   }
   mNext = std::max(mNext, aPage.mNext);
+  mEnd = aPage.mEnd;
   if (mNext >= aPage.mEnd) {
     mLoaded = true;
   }
@@ -125,8 +126,7 @@
       continue;
     }
     const uint64_t ticket = ++mFreshStarted;
-    const ReadRange range{ mNext, Millis(0) };
-    const auto read = co_await ReadOnce(range, std::min(TimeLeft(aDeadline), kCatchUpTimeout));
+    const auto read = co_await ReadToEnd(aDeadline);
     mFreshEnded = ticket;
     mFreshDone = base::IsOk(read) ? ticket : mFreshDone;
     mApplied.NotifyAll();
@@ -142,6 +142,22 @@
                          "" };
 }
 
+boost::asio::awaitable<base::Result<base::Unit>>
+ProgramLog::ReadToEnd(base::TimePoint aDeadline)
+{
+  std::optional<uint64_t> end; // Of the stream when the first page was read.
+  while (!end || mNext < *end) {
+    const ReadRange range{ mNext, Millis(0) };
+    const Millis limit = std::clamp(TimeLeft(aDeadline), Millis(1), kCatchUpTimeout);
+    const auto read = co_await ReadOnce(range, limit);
+    if (!base::IsOk(read)) {
+      co_return base::ErrorOf(read);
+    }
+    end = end.value_or(mEnd);
+  }
+  co_return base::Unit{};
+}
+
 boost::asio::awaitable<base::Result<uint64_t>>
 ProgramLog::Append(programs::ProgramEvent aEvent, base::TimePoint aDeadline)
 {
--- a/modules/gateway/src/program_log.h
+++ b/modules/gateway/src/program_log.h
@@ -50,12 +50,14 @@
   void ApplyRecord(uint64_t aOffset, const std::string& aBytes);
   boost::asio::awaitable<base::Result<base::Unit>> ReadOnce(ReadRange aRange,
                                                             base::Millis aTimeout);
+  boost::asio::awaitable<base::Result<base::Unit>> ReadToEnd(base::TimePoint aDeadline);
   void ApplyAppended(uint64_t aOffset, const std::vector<std::string>& aRecords);
 
   boost::asio::any_io_executor mExecutor;
   LogStore& mStore;
   programs::ProgramBook mBook;
   uint64_t mNext = 0; // Offset of the next record to apply.
+  uint64_t mEnd = 0;  // Of the stream, as the last page told.
   // Reads by CatchUp are numbered from 1; one runs at a time and serves all that wait for it.
   uint64_t mFreshStarted = 0;
   uint64_t mFreshEnded = 0;
--- a/modules/gateway/tests/fake_log_store.h
+++ b/modules/gateway/tests/fake_log_store.h
@@ -53,7 +53,7 @@
     StreamPage page;
     page.mEnd = stream.size();
     page.mNext = aRange.mFrom;
-    while (page.mNext < page.mEnd) {
+    while (page.mNext < page.mEnd && page.mRecords.size() < mMostPerPage) {
       StreamRecord record{ page.mNext, "", stream[page.mNext] };
       page.mRecords.push_back(std::move(record));
       ++page.mNext;
@@ -72,6 +72,7 @@
 
   std::map<StreamName, std::vector<std::string>> mStreams;
   base::Millis mLatency{ 1 };
+  size_t mMostPerPage = 10; // Records of one answer.
   bool mDown = false;
   int mLostAnswers = 0; // Appends that take effect without an answer.
   int mAppends = 0;
--- a/modules/gateway/tests/program_log_test.cpp
+++ b/modules/gateway/tests/program_log_test.cpp
@@ -42,6 +42,22 @@
   BOOST_TEST(mLog.Book().FindTurn("t1") != nullptr);
 }
 
+// Guards against a false "no such turn" when more records came than one answer of the store holds, as
+// after a freeze of some seconds.
+BOOST_FIXTURE_TEST_CASE(ProgramLogFarBehindCatchesUpToTheEnd, ProgramLogFixture)
+{
+  RunUntil([&] { return mLog.Loaded(); });
+  mStore.mLatency = base::Millis(30);
+  for (int i = 0; i < 35; ++i) {
+    const std::string attempt = "t" + std::to_string(i);
+    AppendElsewhere(
+      programs::TurnCompleted{ attempt, "p", "", "in", "out\n", 8, "r", base::Millis(60000) });
+  }
+  Spawn(CatchUp());
+  RunUntil([&] { return mCaughtUp == 1; });
+  BOOST_TEST(mLog.Book().FindTurn("t34") != nullptr);
+}
+
 // Guards against one read of the whole history for each waiting call: after a restart of all
 // processes that kept the store busy for ten seconds.
 BOOST_FIXTURE_TEST_CASE(ProgramLogManyCatchUpsShareFewReads, ProgramLogFixture)
