Tell callers to come back later while the store is away for all machines

A gateway now tells an outage for all (a peer that it can reach cannot reach the store either) from being cut off alone, and names 1.5 s, at most a third of the time that the caller has left. The refusal itself still goes out at once.

Ruled out: holding the calls until the store returns, which the users do not accept.

--- a/modules/gateway/src/refusal.cpp
+++ b/modules/gateway/src/refusal.cpp
@@ -6,19 +6,17 @@
 
 using base::Millis;
 
-// Time after which a refused call may come back: long enough for a replica's slot to become free.
-static constexpr Millis kRetryAfter{ 150 };
 // Callers honour at most this share of the time that they have left.
 static constexpr int kMostOfTimeLeft = 3;
 
 boost::asio::awaitable<void>
-SendRefusal(CallerLink& aLink, const Call& aCall, const base::Error& aError)
+SendRefusal(CallerLink& aLink, const Call& aCall, const base::Error& aError, Millis aRetryAfter)
 {
   const base::Answer& answer = base::AnswerFor(aError.mKind);
   std::optional<Millis> retryAfter;
   if (answer.mRun == base::RunState::NotRun && answer.mRetryable) {
     const auto left = std::chrono::duration_cast<Millis>(aCall.mDeadline - base::Clock::now());
-    retryAfter = std::clamp(left / kMostOfTimeLeft, Millis(0), kRetryAfter);
+    retryAfter = std::clamp(left / kMostOfTimeLeft, Millis(0), aRetryAfter);
   }
   WholeAnswer refusal = ErrorAnswer(aError, retryAfter);
   co_await aLink.SendWhole(std::move(refusal));
--- a/modules/gateway/src/refusal.h
+++ b/modules/gateway/src/refusal.h
@@ -7,9 +7,15 @@
 
 namespace sycamore::gateway {
 
+// Time after which a refused call may come back: long enough for a replica's slot to become free.
+constexpr base::Millis kRetryAfter{ 150 };
+
 // Answers aCall with aError. If the call has not run and may succeed later, the answer says when to
-// come back.
+// come back: after aRetryAfter, or a third of the time that the caller has left if that is less.
 boost::asio::awaitable<void>
-SendRefusal(CallerLink& aLink, const Call& aCall, const base::Error& aError);
+SendRefusal(CallerLink& aLink,
+            const Call& aCall,
+            const base::Error& aError,
+            base::Millis aRetryAfter = kRetryAfter);
 
 }
--- a/modules/gateway/src/relay_client.cpp
+++ b/modules/gateway/src/relay_client.cpp
@@ -55,7 +55,7 @@
       boost::asio::ip::tcp::endpoint(address, mPeer.mPort), kAsTuple);
   }
   if (error) {
-    co_return base::Error{ ErrorKind::LogUnavailable, "peer: " + error.message(), "" };
+    co_return base::Error{ ErrorKind::ConnectionLost, "peer: " + error.message(), "" };
   }
   DetectSilence(connection->socket(), kSilenceTimeout);
   co_return std::move(connection);
--- a/modules/gateway/src/relay_client.h
+++ b/modules/gateway/src/relay_client.h
@@ -31,7 +31,8 @@
 private:
   using Connection = std::unique_ptr<boost::beast::tcp_stream>;
 
-  // LogUnavailable if the peer cannot be reached, OutcomeUnknown once the call was sent.
+  // ConnectionLost if the peer cannot be reached, OutcomeUnknown once the call was sent. A failure
+  // that the peer reports is part of the response.
   Async<wire::RelayResponseT> Call(wire::RelayRequestT aRequest, base::Millis aTimeout);
   Async<Connection> Connect(base::TimePoint aDeadline);
 
--- a/modules/gateway/src/store_paths.cpp
+++ b/modules/gateway/src/store_paths.cpp
@@ -17,6 +17,8 @@
 // Limit of a call on a path that failed before. A silent path must not hold up the others for long;
 // a far store answers within 80 ms.
 static constexpr Millis kProbeTimeout{ 350 };
+// What a peer said of the store is believed for this long; peers are asked at least as often.
+static constexpr Millis kPeerWordValid{ 2000 };
 // Other gateways that one call is tried through.
 static constexpr size_t kPeersPerCall = 2;
 
@@ -46,6 +48,12 @@
   }
 }
 
+bool
+StorePaths::DownForAll() const
+{
+  return !mReachable && mLastPeerFailure && base::Clock::now() - *mLastPeerFailure < kPeerWordValid;
+}
+
 Millis
 StorePaths::SinceSuccess() const
 {
@@ -141,6 +149,9 @@
         break;
       }
       mayHaveEffect = mayHaveEffect || base::ErrorOf(result).mKind == ErrorKind::OutcomeUnknown;
+      if (base::ErrorOf(result).mKind == ErrorKind::LogUnavailable) {
+        mLastPeerFailure = base::Clock::now();
+      }
     }
   }
   if (base::IsOk(result)) {
--- a/modules/gateway/src/store_paths.h
+++ b/modules/gateway/src/store_paths.h
@@ -33,6 +33,10 @@
   // Whether the last calls succeeded on some way.
   bool Reachable() const { return mReachable; }
 
+  // Whether the store seems to be away for all machines: it cannot be reached, and another gateway
+  // that was asked could not reach it either.
+  bool DownForAll() const;
+
   // Time since the last call that succeeded, on any way.
   base::Millis SinceSuccess() const;
 
@@ -95,6 +99,7 @@
   Guarded mGuarded;
   bool mReachable = true;
   base::TimePoint mLastSuccess;
+  std::optional<base::TimePoint> mLastPeerFailure; // Reported by a peer that could be reached.
 };
 
 }
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -17,6 +17,12 @@
 
 // How long a call waits for the log before it is refused: the caller can still try another process.
 static constexpr Millis kLogPatience{ 900 };
+// When to come back while the store is away for all: outages last for seconds, and a caller has few
+// tries. While only this process is cut off, another one can serve the call at once.
+static constexpr Millis kRetryAfterOutage{ 1500 };
+// When to come back while the history is loaded, which takes a second or two after a restart of
+// all.
+static constexpr Millis kRetryAfterLoading{ 600 };
 // A call is sent before its reservation is granted if the budget holds this many turns like it:
 // sub-agents of the same program may be reserving at other gateways at the same time.
 static constexpr uint64_t kTurnsOfRoom = 3;
@@ -279,10 +285,19 @@
                         boost::asio::detached);
 }
 
+Millis
+TurnRunner::RetryAfter() const
+{
+  if (!mContext.mPrograms.Loaded()) {
+    return kRetryAfterLoading;
+  }
+  return mContext.mStore.DownForAll() ? kRetryAfterOutage : kRetryAfter;
+}
+
 boost::asio::awaitable<std::string>
 TurnRunner::Refuse(base::Error aError)
 {
-  co_await SendRefusal(mLink, mCall, aError);
+  co_await SendRefusal(mLink, mCall, aError, RetryAfter());
   co_return aError.mMessage;
 }
 
--- a/modules/gateway/src/turn_runner.h
+++ b/modules/gateway/src/turn_runner.h
@@ -51,6 +51,8 @@
   boost::asio::awaitable<bool> ReservationGranted();
   boost::asio::awaitable<bool> SendHeader();
   boost::asio::awaitable<std::string> Refuse(base::Error aError);
+  // When a refused turn may come back.
+  base::Millis RetryAfter() const;
   boost::asio::awaitable<std::string> Finish(DispatchResult aResult);
   boost::asio::awaitable<std::string> Complete(const std::string& aReplica);
   boost::asio::awaitable<bool> Commit(const std::string& aReplica);
--- a/modules/gateway/tests/program_log_test.cpp
+++ b/modules/gateway/tests/program_log_test.cpp
@@ -42,8 +42,8 @@
   BOOST_TEST(mLog.Book().FindTurn("t1") != nullptr);
 }
 
-// Guards against a false "no such turn" when more records came than one answer of the store holds, as
-// after a freeze of some seconds.
+// Guards against a false "no such turn" when more records came than one answer of the store holds,
+// as after a freeze of some seconds.
 BOOST_FIXTURE_TEST_CASE(ProgramLogFarBehindCatchesUpToTheEnd, ProgramLogFixture)
 {
   RunUntil([&] { return mLog.Loaded(); });
--- a/modules/gateway/tests/store_paths_test.cpp
+++ b/modules/gateway/tests/store_paths_test.cpp
@@ -76,6 +76,7 @@
   RunUntil([&] { return mAppended.has_value(); });
   BOOST_TEST(!base::IsOk(*mAppended));
   BOOST_TEST(!mPaths.Reachable());
+  BOOST_TEST(mPaths.DownForAll());
   const int calls = mOwn->mAppends;
   for (int i = 0; i < 20; ++i) {
     mAppended.reset();
@@ -85,6 +86,19 @@
   BOOST_TEST(mOwn->mAppends - calls <= 4);
 }
 
+// Guards against callers that are told of an outage, and come back late, when only this machine is
+// cut off: another gateway can serve them at once.
+BOOST_FIXTURE_TEST_CASE(StorePathsPeerOutOfReachIsNoOutageForAll, StorePathsFixture)
+{
+  mOwn->mDown = true;
+  mAcceptor.close();
+  Spawn(Append("a"));
+  RunUntil([&] { return mAppended.has_value(); });
+  BOOST_TEST(!base::IsOk(*mAppended));
+  BOOST_TEST(!mPaths.Reachable());
+  BOOST_TEST(!mPaths.DownForAll());
+}
+
 // Guards against a store that stays unused after it returned.
 BOOST_FIXTURE_TEST_CASE(StorePathsAfterTheStoreReturnsUsesItAgain, StorePathsFixture)
 {
