Log each answer of the gateway on standard output; read settings again on SIGHUP

Cause: lines of answers were below the log level, went to standard error and blocked their thread; SIGHUP ended the process, although the platform sends it when the settings file changes.

A writer thread with a bounded queue writes the lines; dropped ones are counted. SIGHUP applies the log level and logs what it did.

--- a/modules/base/include/sycamore/base/log.h
+++ b/modules/base/include/sycamore/base/log.h
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 
 namespace sycamore::base {
@@ -17,11 +18,29 @@
 void
 SetLogLevel(LogLevel aLevel);
 
-// Writes one line to standard error: time, level, instance, event number and name, text. One write
-// per line, so that lines of several threads do not mix.
+// Writes one line: time, level, instance, event number and name, text. Goes to standard error at
+// once, or, while a LogWriter exists, to its thread.
 void
 WriteLog(LogEvent aEvent, std::string_view aText);
 
+// Writes the lines of this process to standard output on a thread of its own, so that a slow reader
+// never holds up a call. Lines that find the bounded queue full are counted and dropped; the next
+// line that is written tells how many. At most one exists at a time.
+class LogWriter
+{
+public:
+  LogWriter();
+  // Writes what is queued and joins the thread.
+  ~LogWriter();
+  LogWriter(const LogWriter&) = delete;
+  LogWriter& operator=(const LogWriter&) = delete;
+
+private:
+  void Run();
+
+  std::thread mThread;
+};
+
 // Whether aEvent's severity is written at present.
 bool
 LogEnabled(LogEvent aEvent);
--- a/modules/ctl/include/sycamore/ctl/exit_code.h
+++ b/modules/ctl/include/sycamore/ctl/exit_code.h
@@ -2,7 +2,7 @@
 
 namespace sycamore::ctl {
 
-// Exit status of sycamorectl; docs/operations.md lists them.
+// Exit status of sycamorectl; docs/OPERATIONS.md lists them.
 enum class ExitCode : int
 {
   Ok = 0,
--- a/modules/daemon/include/sycamore/daemon/run.h
+++ b/modules/daemon/include/sycamore/daemon/run.h
@@ -2,6 +2,8 @@
 
 #include "sycamore/daemon/service.h"
 
+#include <functional>
+
 namespace sycamore::daemon {
 
 // Exit codes of sycamoreleverd.
@@ -18,8 +20,8 @@
 BlockSignals();
 
 // Starts aService and runs it until SIGTERM or SIGINT, then drains it for at most aDrainLimit. A
-// second signal ends the drain at once.
+// second one of these signals ends the drain at once. SIGHUP runs aReload.
 int
-RunUntilSignal(Service& aService, base::Millis aDrainLimit);
+RunUntilSignal(Service& aService, base::Millis aDrainLimit, const std::function<void()>& aReload);
 
 }
--- a/modules/daemon/main/main.cpp
+++ b/modules/daemon/main/main.cpp
@@ -7,10 +7,16 @@
 #include <gflags/gflags.h>
 #include <iterator>
 #include <string>
+#include <variant>
+#include <vector>
 
 DEFINE_string(settings, "", "JSON settings file; its keys are listed in docs/settings.md");
 
+using sycamore::base::Error;
+using sycamore::base::Log;
+using sycamore::base::LogEvent;
 using sycamore::base::LogLevel;
+using sycamore::settings::Settings;
 
 static LogLevel
 LevelOf(const std::string& aName)
@@ -24,6 +30,37 @@
   return aName == "error" ? LogLevel::Error : LogLevel::Info;
 }
 
+// Reads and checks a settings file; an unreadable file is a fault too.
+static std::variant<Settings, std::vector<Error>>
+ReadSettings(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    return std::vector<Error>{
+      { sycamore::base::ErrorKind::InvalidSettings, "cannot be read; pass --settings=FILE", "/" }
+    };
+  }
+  const std::string text{ std::istreambuf_iterator<char>(file), {} };
+  return sycamore::settings::Parse(text);
+}
+
+// Takes over what can change while the process runs, the log level; a faulty file changes nothing.
+static void
+Reload()
+{
+  const auto read = ReadSettings(FLAGS_settings);
+  if (const auto* faults = std::get_if<1>(&read)) {
+    Log(LogEvent::SettingsInvalid,
+        "reload: {}: {}; the settings before stay in force",
+        faults->front().mField,
+        faults->front().mMessage);
+    return;
+  }
+  const auto& settings = std::get<0>(read);
+  sycamore::base::SetLogLevel(LevelOf(settings.mLogLevel));
+  Log(LogEvent::SettingsReloaded, "log_level={}", settings.mLogLevel);
+}
+
 int
 main(int argc, char** argv)
 {
@@ -32,24 +69,18 @@
                           "Exit codes: 0 stopped gracefully, 1 start failed, 2 invalid settings,\n"
                           "3 stopped with work in flight.");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  std::ifstream file(FLAGS_settings);
-  if (!file) {
-    fmt::print(
-      stderr, "cannot read the settings file '{}'; pass --settings=FILE\n", FLAGS_settings);
-    return daemon::ExitInvalidSettings;
-  }
-  const std::string text{ std::istreambuf_iterator<char>(file), {} };
-  const auto parsed = sycamore::settings::Parse(text);
-  if (const auto* faults = std::get_if<1>(&parsed)) {
+  const auto read = ReadSettings(FLAGS_settings);
+  if (const auto* faults = std::get_if<1>(&read)) {
     for (const auto& fault : *faults) {
       fmt::print(stderr, "{}: {}: {}\n", FLAGS_settings, fault.mField, fault.mMessage);
     }
     return daemon::ExitInvalidSettings;
   }
-  const auto& settings = std::get<0>(parsed);
+  const auto& settings = std::get<0>(read);
   sycamore::base::SetLogInstance(settings.mInstance);
   sycamore::base::SetLogLevel(LevelOf(settings.mLogLevel));
   daemon::BlockSignals();
+  const sycamore::base::LogWriter writer;
   const auto service = daemon::MakeService(settings);
-  return daemon::RunUntilSignal(*service, settings.mDrainLimit);
+  return daemon::RunUntilSignal(*service, settings.mDrainLimit, Reload);
 }
--- a/modules/daemon/src/run.cpp
+++ b/modules/daemon/src/run.cpp
@@ -16,44 +16,48 @@
 static constexpr base::Millis kDrainPoll{ 20 };
 
 static sigset_t
-StopSignals()
+AwaitedSignals()
 {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   return signals;
 }
 
 void
 BlockSignals()
 {
-  const sigset_t signals = StopSignals();
+  const sigset_t signals = AwaitedSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-// Waits at most aTimeout for a stop signal.
+// Waits at most aTimeout for a stop signal. Runs aReload at each SIGHUP, which ends the wait too.
 static std::optional<int>
-WaitForSignal(base::Millis aTimeout)
+WaitForStop(base::Millis aTimeout, const std::function<void()>& aReload)
 {
-  const sigset_t signals = StopSignals();
+  const sigset_t signals = AwaitedSignals();
   timespec timeout{};
   timeout.tv_sec = aTimeout.count() / 1000;
   timeout.tv_nsec = (aTimeout.count() % 1000) * 1000000;
   const int signal = sigtimedwait(&signals, nullptr, &timeout);
-  return signal > 0 ? std::optional<int>(signal) : std::nullopt;
+  if (signal == SIGHUP) {
+    aReload();
+  }
+  return signal > 0 && signal != SIGHUP ? std::optional<int>(signal) : std::nullopt;
 }
 
 // Returns whether all work in flight finished.
 static bool
-Drain(Service& aService, base::Millis aLimit)
+Drain(Service& aService, base::Millis aLimit, const std::function<void()>& aReload)
 {
   const base::TimePoint latest = base::Clock::now() + aLimit;
   aService.BeginDrain();
   while (!aService.Drained()) {
-    if (base::Clock::now() >= latest || WaitForSignal(kDrainPoll)) {
+    if (base::Clock::now() >= latest || WaitForStop(kDrainPoll, aReload)) {
       return false;
     }
   }
@@ -61,7 +65,7 @@
 }
 
 int
-RunUntilSignal(Service& aService, base::Millis aDrainLimit)
+RunUntilSignal(Service& aService, base::Millis aDrainLimit, const std::function<void()>& aReload)
 {
   const auto started = aService.Start();
   if (!base::IsOk(started)) {
@@ -71,10 +75,10 @@
   }
   std::optional<int> signal;
   while (!signal) {
-    signal = WaitForSignal(base::Seconds(3600));
+    signal = WaitForStop(base::Seconds(3600), aReload);
   }
   Log(LogEvent::ProcessStopping, "signal={}", *signal);
-  const bool drained = Drain(aService, aDrainLimit);
+  const bool drained = Drain(aService, aDrainLimit, aReload);
   aService.Stop();
   Log(LogEvent::ProcessStopped, "drained={}", drained);
   return drained ? ExitOk : ExitDrainIncomplete;
--- /dev/null
+++ b/modules/gateway/src/async.cpp
@@ -0,0 +1,20 @@
+#include "async.h"
+
+#include "sycamore/base/log.h"
+
+namespace sycamore::gateway {
+
+void
+LogFailure::operator()(std::exception_ptr aException) const
+{
+  if (!aException) {
+    return;
+  }
+  try {
+    std::rethrow_exception(aException);
+  } catch (const std::exception& exception) {
+    base::Log(base::LogEvent::HttpError, "a task ended: {}", exception.what());
+  }
+}
+
+}
--- a/modules/gateway/src/async.h
+++ b/modules/gateway/src/async.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <exception>
 #include <memory>
 
 // GCC 12 destroys a braced temporary inside a full expression with co_await twice, and miscompiles
@@ -16,6 +17,12 @@
 // Completion token: an awaitable that yields the error code with the value instead of throwing.
 inline constexpr auto kAsTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
 
+// Completion handler of a task that nobody waits for: logs the exception that ended it.
+struct LogFailure
+{
+  void operator()(std::exception_ptr aException) const;
+};
+
 // Suspends the coroutine for aDuration.
 inline boost::asio::awaitable<void>
 SleepFor(base::Millis aDuration)
--- a/modules/gateway/src/call_runner.cpp
+++ b/modules/gateway/src/call_runner.cpp
@@ -122,7 +122,7 @@
     outcome = co_await RunSingle(aContext, aLink, call);
   }
   const auto took = std::chrono::duration_cast<Millis>(base::Clock::now() - call.mArrived);
-  base::Log(base::LogEvent::CallFinished,
+  base::Log(base::LogEvent::GatewayCall,
             "attempt={} program={} route={} config={} took_ms={} outcome=\"{}\"",
             call.mHead.mAttempt,
             call.mHead.mProgram,
--- a/modules/gateway/src/caller_session.cpp
+++ b/modules/gateway/src/caller_session.cpp
@@ -6,7 +6,6 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
@@ -63,8 +62,7 @@
     }
     ++mCall;
     mKeepAlive = mKeepAlive && request.keep_alive();
-    boost::asio::co_spawn(
-      mStream.get_executor(), WatchForClose(self, mCall), boost::asio::detached);
+    boost::asio::co_spawn(mStream.get_executor(), WatchForClose(self, mCall), LogFailure{});
     co_await mHandler(*this, std::move(request));
     mGoneHandler = nullptr;
     if (mStreaming) {
--- a/modules/gateway/src/dispatcher.cpp
+++ b/modules/gateway/src/dispatcher.cpp
@@ -117,7 +117,7 @@
     unsent += result.mExchange.mSent ? 0 : 1;
     result.mMayHaveRun = result.mMayHaveRun || result.mExchange.mStatus == ExchangeStatus::Failed;
     if (!result.mExchange.mDetail.empty()) {
-      base::Log(base::LogEvent::CallRetried,
+      base::Log(base::LogEvent::ReplicaTry,
                 "attempt={} replica={} sends={} outcome={} detail=\"{}\"",
                 aCall.mHead.mAttempt,
                 replica.mId,
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -13,7 +13,6 @@
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -130,7 +129,7 @@
 void
 Gateway::Impl::Spawn(boost::asio::awaitable<void> aTask)
 {
-  boost::asio::co_spawn(mLoop, std::move(aTask), boost::asio::detached);
+  boost::asio::co_spawn(mLoop, std::move(aTask), LogFailure{});
 }
 
 base::Result<base::Unit>
@@ -173,7 +172,7 @@
       std::erase_if(mSessions, [](const auto& aSession) { return aSession.expired(); });
       mSessions.push_back(session);
     }
-    boost::asio::co_spawn(mLoop, session->Run(), boost::asio::detached);
+    boost::asio::co_spawn(mLoop, session->Run(), LogFailure{});
   }
 }
 
@@ -188,7 +187,7 @@
       continue;
     }
     boost::asio::co_spawn(
-      mLoop, ServeRelay(std::move(socket), mStore.DirectForPeers()), boost::asio::detached);
+      mLoop, ServeRelay(std::move(socket), mStore.DirectForPeers()), LogFailure{});
   }
 }
 
--- a/modules/gateway/src/record_writer.cpp
+++ b/modules/gateway/src/record_writer.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <iterator>
 #include <utility>
 
@@ -44,7 +43,7 @@
   mQueue.push_back(pending);
   if (mSenders < kMostSenders) {
     ++mSenders;
-    boost::asio::co_spawn(mExecutor, RunBatches(), boost::asio::detached);
+    boost::asio::co_spawn(mExecutor, RunBatches(), LogFailure{});
   }
   while (!pending->mDone && base::Clock::now() < aDeadline) {
     co_await pending->mChanged.WaitUntil(aDeadline);
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -4,7 +4,6 @@
 #include "sycamore/base/log.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 #include <utility>
 
@@ -118,7 +117,7 @@
             { head.mAttempt, head.mProgram, *head.mBudgetTokens, head.mMaxOutputTokens },
             limit,
             mReservation),
-    boost::asio::detached);
+    LogFailure{});
 }
 
 boost::asio::awaitable<void>
@@ -280,9 +279,8 @@
                 base::ErrorOf(appended).mMessage);
     }
   };
-  boost::asio::co_spawn(mContext.mExecutor,
-                        release(mContext, { head.mAttempt, head.mProgram, aTokens }),
-                        boost::asio::detached);
+  boost::asio::co_spawn(
+    mContext.mExecutor, release(mContext, { head.mAttempt, head.mProgram, aTokens }), LogFailure{});
 }
 
 Millis
--- a/tools/system.sh
+++ b/tools/system.sh
@@ -25,7 +25,7 @@
 start() {
   local name=$1
   shift
-  "$@" >"$dir/$name.out" 2>"$dir/$name.log" &
+  "$@" >"$dir/$name.log" 2>&1 &
   pids+=($!)
   pid_of[$name]=$!
 }
