Mend lint findings of the gateway

Cause: clang-tidy found five parameters that are copied and only read. Ruled out: none left in the new modules (gateway, programs, platform, daemon, settings, the changed files of base and testbed); the other modules were not linted again yet.

--- a/modules/gateway/include/sycamore/gateway/replica_list.h
+++ b/modules/gateway/include/sycamore/gateway/replica_list.h
@@ -22,7 +22,7 @@
   void Update(const std::string& aId, std::optional<Replica> aReplica, base::TimePoint aNow);
 
   // Replaces the whole list; entries that are missing in aReplicas count as removed.
-  void Replace(std::map<std::string, Replica> aReplicas, base::TimePoint aNow);
+  void Replace(const std::map<std::string, Replica>& aReplicas, base::TimePoint aNow);
 
   // The store failed to answer, at aNow.
   void NoteStoreFailure(base::TimePoint aNow) { mLastStoreFailure = aNow; }
--- a/modules/gateway/src/async.cpp
+++ b/modules/gateway/src/async.cpp
@@ -5,7 +5,7 @@
 namespace sycamore::gateway {
 
 void
-LogFailure::operator()(std::exception_ptr aException) const
+LogFailure::operator()(const std::exception_ptr& aException) const
 {
   if (!aException) {
     return;
--- a/modules/gateway/src/async.h
+++ b/modules/gateway/src/async.h
@@ -20,7 +20,7 @@
 // Completion handler of a task that nobody waits for: logs the exception that ended it.
 struct LogFailure
 {
-  void operator()(std::exception_ptr aException) const;
+  void operator()(const std::exception_ptr& aException) const;
 };
 
 // Suspends the coroutine for aDuration.
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -80,8 +80,8 @@
   void FollowConfiguration();
   void FollowReplicas();
   void TakeConfiguration(const StreamRecord& aRecord);
-  void TakeReplica(StreamRecord aRecord);
-  void TakeReplicas(StreamSnapshot aSnapshot);
+  void TakeReplica(const StreamRecord& aRecord);
+  void TakeReplicas(const StreamSnapshot& aSnapshot);
   bool Ready() const;
 
   const settings::Settings mSettings;
@@ -216,12 +216,12 @@
 Gateway::Impl::FollowConfiguration()
 {
   FollowerHandlers handlers;
-  handlers.mOnSnapshot = [this](StreamSnapshot aSnapshot) {
+  handlers.mOnSnapshot = [this](const StreamSnapshot& aSnapshot) {
     for (const StreamRecord& record : aSnapshot.mRecords) {
       TakeConfiguration(record);
     }
   };
-  handlers.mOnRecord = [this](StreamRecord aRecord) { TakeConfiguration(aRecord); };
+  handlers.mOnRecord = [this](const StreamRecord& aRecord) { TakeConfiguration(aRecord); };
   handlers.mOnFailure = [] {};
   Spawn(FollowStream(mStore, StreamName::Configuration, std::move(handlers)));
 }
@@ -255,14 +255,14 @@
 Gateway::Impl::FollowReplicas()
 {
   FollowerHandlers handlers;
-  handlers.mOnSnapshot = [this](StreamSnapshot aSnapshot) { TakeReplicas(std::move(aSnapshot)); };
-  handlers.mOnRecord = [this](StreamRecord aRecord) { TakeReplica(std::move(aRecord)); };
+  handlers.mOnSnapshot = [this](const StreamSnapshot& aSnapshot) { TakeReplicas(aSnapshot); };
+  handlers.mOnRecord = [this](const StreamRecord& aRecord) { TakeReplica(aRecord); };
   handlers.mOnFailure = [this] { mContext.mReplicas.NoteStoreFailure(base::Clock::now()); };
   Spawn(FollowStream(mStore, StreamName::Replicas, std::move(handlers)));
 }
 
 void
-Gateway::Impl::TakeReplicas(StreamSnapshot aSnapshot)
+Gateway::Impl::TakeReplicas(const StreamSnapshot& aSnapshot)
 {
   std::map<std::string, Replica> replicas;
   for (const StreamRecord& record : aSnapshot.mRecords) {
@@ -273,11 +273,11 @@
       replicas.emplace(record.mKey, std::move(*replica));
     }
   }
-  mContext.mReplicas.Replace(std::move(replicas), base::Clock::now());
+  mContext.mReplicas.Replace(replicas, base::Clock::now());
 }
 
 void
-Gateway::Impl::TakeReplica(StreamRecord aRecord)
+Gateway::Impl::TakeReplica(const StreamRecord& aRecord)
 {
   auto replica =
     aRecord.mValue ? mAdapters.mCodec->DecodeReplica(aRecord.mKey, *aRecord.mValue) : std::nullopt;
--- a/modules/gateway/src/replica_list.cpp
+++ b/modules/gateway/src/replica_list.cpp
@@ -35,7 +35,7 @@
 }
 
 void
-ReplicaList::Replace(std::map<std::string, Replica> aReplicas, base::TimePoint aNow)
+ReplicaList::Replace(const std::map<std::string, Replica>& aReplicas, base::TimePoint aNow)
 {
   std::vector<std::string> missing;
   for (const auto& [id, entry] : mEntries) {
@@ -46,8 +46,8 @@
   for (const std::string& id : missing) {
     Remove(id, aNow);
   }
-  for (auto& [id, replica] : aReplicas) {
-    mEntries[id] = { std::move(replica), std::nullopt };
+  for (const auto& [id, replica] : aReplicas) {
+    mEntries[id] = { replica, std::nullopt };
   }
 }
 
