One append under way for each stream and gateway

A stream takes one append of 2 ms after the other, 500 a second; 35 gateways with up to three appends each waited for one another.

Ruled out: the read of texts before the reservation.

Change: one append under way for each stream and gateway, records wait 25 ms for company, reads of the programs' stream are 40 ms apart; a start reads eight parts. Avoided and restored replicas are logged, as are routes that keep turns longer than the store keeps records.

--- a/modules/base/include/sycamore/base/log_event.h
+++ b/modules/base/include/sycamore/base/log_event.h
@@ -54,7 +54,6 @@
   ProgramEnded = 407,
   GatewayCall = 408,
   ReplicaTry = 409,
-  CallForwarded = 410,
   TableChanged = 500,
   EditRejected = 501,
   TableStale = 502,
--- a/modules/base/src/log_event.cpp
+++ b/modules/base/src/log_event.cpp
@@ -42,7 +42,6 @@
   { LogEvent::ProgramEnded, "program_ended", LogLevel::Debug },
   { LogEvent::GatewayCall, "gateway_call", LogLevel::Info },
   { LogEvent::ReplicaTry, "replica_try", LogLevel::Info },
-  { LogEvent::CallForwarded, "call_forwarded", LogLevel::Info },
   { LogEvent::TableChanged, "table_changed", LogLevel::Info },
   { LogEvent::EditRejected, "edit_rejected", LogLevel::Warning },
   { LogEvent::TableStale, "table_stale", LogLevel::Warning },
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -91,6 +91,7 @@
   void FollowConfiguration();
   void FollowReplicas();
   void TakeConfiguration(const StreamRecord& aRecord);
+  void WarnOfRetention() const;
   void TakeReplica(const StreamRecord& aRecord);
   void TakeReplicas(const StreamSnapshot& aSnapshot);
 
@@ -281,6 +282,21 @@
             table->mRoutes.size(),
             table->mServices.size());
   mContext.mRoutes = std::make_shared<const RouteTable>(std::move(*table));
+  WarnOfRetention();
+}
+
+void
+Gateway::Impl::WarnOfRetention() const
+{
+  for (const Route& route : mContext.mRoutes->mRoutes) {
+    if (mSettings.mStoreRetention > Millis(0) && route.mRetention > mSettings.mStoreRetention) {
+      base::Log(LogEvent::RetentionTooLong,
+                "route={} keeps_ms={} store_keeps_ms={}",
+                route.mName,
+                route.mRetention.count(),
+                mSettings.mStoreRetention.count());
+    }
+  }
 }
 
 void
--- a/modules/gateway/src/program_log.cpp
+++ b/modules/gateway/src/program_log.cpp
@@ -18,13 +18,13 @@
 static constexpr Millis kReadWait{ 1000 };
 static constexpr Millis kReadTimeout{ 1700 };
 // Pause between two reads of a busy stream: several records come with one paid call.
-static constexpr Millis kReadInterval{ 25 };
+static constexpr Millis kReadInterval{ 40 };
 static constexpr Millis kRetryPause{ 150 };
 // Limit of a page while the history is loaded: a far region reads about a megabyte in a second.
 static constexpr Millis kLoadTimeout{ 4000 };
 // Reads of different parts of the stream at the same time while the history is loaded. One
 // connection to a far region carries two megabytes in a second, and the store has far more.
-static constexpr size_t kLoadReaders = 4;
+static constexpr size_t kLoadReaders = 8;
 // Records from which on the load is split: fewer come with one or two pages.
 static constexpr uint64_t kSplitFrom = 500;
 // Pages of a split load; small, since the last page of each part reaches into the next part.
--- a/modules/gateway/src/record_writer.cpp
+++ b/modules/gateway/src/record_writer.cpp
@@ -10,11 +10,9 @@
 using base::ErrorKind;
 using base::Millis;
 
-// Calls under way at the same time. A far store takes 70 ms for a call; a record that comes
-// meanwhile waits a fraction of that.
-static constexpr int kMostSenders = 3;
-// Records that arrive within this time go with one call: each call is paid for.
-static constexpr Millis kBatchDelay{ 8 };
+// Records that arrive within this time go with one call. The store appends 500 calls a second to a
+// stream, of all gateways together; beyond that each call waits for those of the others.
+static constexpr Millis kBatchDelay{ 25 };
 // A record that nobody waits for waits this long for company.
 static constexpr Millis kLaterDelay{ 400 };
 // Bytes of one call; joined they stay below the store's limit of 256 kilobytes for a record.
@@ -50,8 +48,7 @@
 void
 RecordWriter::StartSender()
 {
-  if (mSenders < kMostSenders) {
-    ++mSenders;
+  if (!std::exchange(mSending, true)) {
     boost::asio::co_spawn(mExecutor, RunBatches(), LogFailure{});
   }
 }
@@ -131,7 +128,7 @@
       pause = std::min(pause * 2, kLongestPause);
     }
   }
-  --mSenders;
+  mSending = false;
 }
 
 boost::asio::awaitable<bool>
--- a/modules/gateway/src/record_writer.h
+++ b/modules/gateway/src/record_writer.h
@@ -78,7 +78,7 @@
   Joiner mJoin;
   std::deque<PendingPtr> mQueue;
   std::deque<PendingPtr> mLater; // Travel with the next batch.
-  int mSenders = 0;              // Coroutines that send batches.
+  bool mSending = false;         // RunBatches is under way; it is the only one that sends.
 };
 
 }
--- a/modules/gateway/src/replica_pool.cpp
+++ b/modules/gateway/src/replica_pool.cpp
@@ -1,6 +1,7 @@
 #include "replica_pool.h"
 
 #include "async.h"
+#include "sycamore/base/log.h"
 
 #include <algorithm>
 #include <boost/asio/connect.hpp>
@@ -107,6 +108,12 @@
 void
 NoteSuccess(ReplicaState& aState)
 {
+  if (aState.mRecentFailures > 0) {
+    base::Log(base::LogEvent::ReplicaRestored,
+              "replica={} after_failures={}",
+              aState.mReplica.mId,
+              aState.mRecentFailures);
+  }
   aState.mRecentFailures = 0;
 }
 
@@ -115,6 +122,12 @@
 {
   ++aState.mRecentFailures;
   aState.mLastFailure = aNow;
+  base::Log(base::LogEvent::ReplicaAvoided,
+            "replica={} service={} domain={} failures={}",
+            aState.mReplica.mId,
+            aState.mReplica.mService,
+            aState.mReplica.mDomain,
+            aState.mRecentFailures);
 }
 
 }
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -39,7 +39,15 @@
 boost::asio::awaitable<CallOutcome>
 TurnRunner::Run()
 {
+  if (auto error = co_await FindChain()) {
+    co_return co_await Refuse(std::move(*error));
+  }
+  // The reservation travels while the texts are read: a far region needs 70 ms for each.
+  if (HasBudget()) {
+    StartReservation();
+  }
   if (auto error = co_await MakePrompt()) {
+    ReleaseReservation(0);
     co_return co_await Refuse(std::move(*error));
   }
   if (HasBudget()) {
@@ -55,7 +63,7 @@
 }
 
 boost::asio::awaitable<std::optional<base::Error>>
-TurnRunner::MakePrompt()
+TurnRunner::FindChain()
 {
   if (!mContext.mPrograms.Loaded()) {
     co_return base::Error{ ErrorKind::LogUnavailable, "the history is being loaded", "" };
@@ -64,7 +72,6 @@
     co_return base::Error{ ErrorKind::LogUnavailable, "the store cannot be reached", "" };
   }
   if (!mCall.mHead.mPreviousTurn) {
-    mPrompt = mCall.mRequest.body();
     co_return std::nullopt;
   }
   const std::string& previous = *mCall.mHead.mPreviousTurn;
@@ -81,7 +88,15 @@
     co_return base::Error{ ErrorKind::UnknownTurn, "there is no such turn: " + previous, "" };
   }
   mPrefixReplica = mContext.mPrograms.Book().FindTurn(previous)->mReplica;
-  auto texts = co_await mContext.mTexts.Load(ReferencesTo(*chain), limit);
+  mHistory = ReferencesTo(*chain);
+  co_return std::nullopt;
+}
+
+boost::asio::awaitable<std::optional<base::Error>>
+TurnRunner::MakePrompt()
+{
+  const auto limit = std::min(mCall.mDeadline, base::Clock::now() + kLogPatience);
+  auto texts = co_await mContext.mTexts.Load(std::move(mHistory), limit);
   if (!base::IsOk(texts)) {
     co_return base::ErrorOf(texts);
   }
@@ -107,12 +122,8 @@
 boost::asio::awaitable<std::optional<base::Error>>
 TurnRunner::CheckBudget()
 {
-  const CallHead& head = mCall.mHead;
-  StartReservation();
-  const bool hasRoom = mContext.mPrograms.Book().HasRoom(
-    head.mProgram, *head.mBudgetTokens, head.mMaxOutputTokens * kTurnsOfRoom);
-  const bool optimistic = hasRoom && !mContext.mPrograms.Failing();
-  if (optimistic) {
+  const bool maySendFirst = mHasRoom && !mReservation->mDone && !mContext.mPrograms.Failing();
+  if (maySendFirst) {
     co_return std::nullopt;
   }
   if (co_await ReservationGranted()) {
@@ -129,6 +140,8 @@
 TurnRunner::StartReservation()
 {
   const CallHead& head = mCall.mHead;
+  mHasRoom = mContext.mPrograms.Book().HasRoom(
+    head.mProgram, *head.mBudgetTokens, head.mMaxOutputTokens * kTurnsOfRoom);
   mReservation = std::make_shared<ReservationState>(mContext.mExecutor);
   const auto limit = std::min(mCall.mDeadline, base::Clock::now() + kLogPatience);
   boost::asio::co_spawn(
--- a/modules/gateway/src/turn_runner.h
+++ b/modules/gateway/src/turn_runner.h
@@ -61,6 +61,8 @@
     Signal mChanged;
   };
 
+  // Finds the turns that the prompt is made of.
+  boost::asio::awaitable<std::optional<base::Error>> FindChain();
   boost::asio::awaitable<std::optional<base::Error>> MakePrompt();
   std::vector<TextReference> ReferencesTo(const std::vector<std::string>& aChain) const;
   boost::asio::awaitable<std::optional<base::Error>> CheckBudget();
@@ -88,10 +90,12 @@
   Context& mContext;
   CallerLink& mLink;
   Call& mCall;
+  std::vector<TextReference> mHistory; // Moved away when the texts are read.
   std::string mPrompt;
   std::string mPrefixReplica;
   std::shared_ptr<ReservationState> mReservation; // Null before it is started.
-  boost::beast::http::response_header<> mHeader;  // Moved away when it is sent.
+  bool mHasRoom = false; // The budget holds some turns more, as far as was known at the start.
+  boost::beast::http::response_header<> mHeader; // Moved away when it is sent.
   TurnOutput mOutput;
   bool mHeaderSent = false;
 };
--- a/modules/settings/src/parse.cpp
+++ b/modules/settings/src/parse.cpp
@@ -162,6 +162,9 @@
   aReader.Duration("instance_list_poll_ms", Millis(10), kMinute, aOut.mInstanceListPoll);
   aReader.Duration("default_deadline_ms", Millis(100), kDay, aOut.mDefaultDeadline);
   aReader.Duration("drain_limit_ms", Millis(100), kDay, aOut.mDrainLimit);
+  double storeRetentionSeconds = 0;
+  aReader.Real("store_retention_s", 1, 1e9, storeRetentionSeconds);
+  aOut.mStoreRetention = Millis(static_cast<int64_t>(storeRetentionSeconds * 1000));
   double graceSeconds = 0;
   aReader.Real("stop_grace_s", 1, 86400, graceSeconds);
   if (graceSeconds > 0) {
