--- a/modules/ctl/src/log_line.cpp
+++ b/modules/ctl/src/log_line.cpp
@@ -6,7 +6,6 @@
 
 namespace sycamore::ctl {
 
-using base::LogEvent;
 using base::LogEventInfo;
 
 // Columns from the time on: time, level, instance, event, name.
