Let one piece of code serve where the gateway had copies

Cause: a read of the whole change found the same logic written several times: - the check of an idle connection in replica_connection, relay_client and store_client: now http::IsIdle; - verify a FlatBuffers table in an aligned copy and unpack it, in record_codec, turn_text and relay_codec: now wire/table_codec.h; - start coroutines, count them and wait, in the split load, the read of texts and the commit of a turn: now TaskGroup. ReplicaConnection::mReused was set and never read; it is gone.

Ruled out: the fields of route, service and call that are decoded and not used stay, since decoding them is also the check that refuses a faulty configuration or call.

--- a/modules/gateway/src/async.h
+++ b/modules/gateway/src/async.h
@@ -4,10 +4,12 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <exception>
 #include <memory>
+#include <utility>
 
 // GCC 12 destroys a braced temporary inside a full expression with co_await twice, and miscompiles
 // loops without a body whose condition awaits. Coroutines therefore name such objects before they
@@ -40,6 +42,8 @@
   {
   }
 
+  boost::asio::any_io_executor Executor() { return mTimer.get_executor(); }
+
   // Wakes all that wait now; later waits wait for the next call.
   void NotifyAll() { mTimer.cancel(); }
 
@@ -61,4 +65,50 @@
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
+// Coroutines that run side by side and are waited for together. What they refer to must live until
+// Wait has returned, or until the event loop has ended.
+class TaskGroup
+{
+public:
+  explicit TaskGroup(const boost::asio::any_io_executor& aExecutor)
+    : mState(std::make_shared<State>(aExecutor))
+  {
+  }
+
+  // An exception ends a task as a return does; it is logged.
+  void Spawn(boost::asio::awaitable<void> aTask)
+  {
+    ++mState->mRunning;
+    boost::asio::co_spawn(mState->mChanged.Executor(),
+                          std::move(aTask),
+                          [state = mState](const std::exception_ptr& aException) {
+                            LogFailure{}(aException);
+                            --state->mRunning;
+                            state->mChanged.NotifyAll();
+                          });
+  }
+
+  // Returns when no task is left.
+  boost::asio::awaitable<void> Wait()
+  {
+    while (mState->mRunning > 0) {
+      co_await mState->mChanged.WaitUntil(base::TimePoint::max());
+    }
+  }
+
+private:
+  struct State
+  {
+    explicit State(const boost::asio::any_io_executor& aExecutor)
+      : mChanged(aExecutor)
+    {
+    }
+
+    size_t mRunning = 0;
+    Signal mChanged;
+  };
+
+  std::shared_ptr<State> mState;
+};
+
 }
--- a/modules/gateway/src/call_runner.cpp
+++ b/modules/gateway/src/call_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "call.h"
 #include "dispatcher.h"
+#include "elapsed.h"
 #include "refusal.h"
 #include "sycamore/base/log.h"
 #include "turn_runner.h"
@@ -146,7 +147,7 @@
   } else {
     outcome = co_await RunSingle(aContext, aLink, call);
   }
-  const auto took = std::chrono::duration_cast<Millis>(base::Clock::now() - call.mArrived);
+  const auto took = Since(call.mArrived);
   aContext.mMetrics.NoteCall(outcome, took);
   base::Log(base::LogEvent::GatewayCall,
             "attempt={} program={} route={} config={} took_ms={} outcome=\"{}\"",
--- a/modules/gateway/src/dispatcher.cpp
+++ b/modules/gateway/src/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "dispatcher.h"
 
+#include "elapsed.h"
+
 #include "sycamore/base/log.h"
 #include "sycamore/gateway/replica_choice.h"
 
@@ -64,7 +66,7 @@
   if (!aBody.empty() || aCall.mRequest.has_content_length() || aCall.mRequest.chunked()) {
     request.content_length(aBody.size());
   }
-  const auto left = std::chrono::duration_cast<Millis>(aCall.mDeadline - base::Clock::now());
+  const auto left = Until(aCall.mDeadline);
   aContext.mEdge.PrepareForReplica(request,
                                    { aReplica.mId, std::max(left, Millis(1)), std::nullopt });
   return request;
--- a/modules/gateway/src/measured_store.cpp
+++ b/modules/gateway/src/measured_store.cpp
@@ -1,5 +1,7 @@
 #include "measured_store.h"
 
+#include "elapsed.h"
+
 #include <utility>
 
 namespace sycamore::gateway {
@@ -12,13 +14,6 @@
 {
 }
 
-void
-MeasuredStore::Note(StoreCall aCall, base::TimePoint aBegin)
-{
-  aCall.mTook = std::chrono::duration_cast<Millis>(base::Clock::now() - aBegin);
-  mMetrics.NoteStoreCall(aCall);
-}
-
 static size_t
 BytesOf(const std::vector<StreamRecord>& aRecords)
 {
@@ -29,54 +24,67 @@
   return bytes;
 }
 
+static size_t
+BytesReadBy(uint64_t /* aOffset */)
+{
+  return 0;
+}
+
+static size_t
+BytesReadBy(const StreamPage& aPage)
+{
+  return BytesOf(aPage.mRecords);
+}
+
+static size_t
+BytesReadBy(const StreamSnapshot& aSnapshot)
+{
+  return BytesOf(aSnapshot.mRecords);
+}
+
+template<typename T>
+LogStore::Async<T>
+MeasuredStore::Measure(StoreCall aCall, Async<T> aOperation)
+{
+  const base::TimePoint begin = base::Clock::now();
+  auto result = co_await std::move(aOperation);
+  aCall.mSucceeded = base::IsOk(result);
+  aCall.mBytesRead = aCall.mSucceeded ? BytesReadBy(base::ValueOf(result)) : 0;
+  aCall.mTook = Since(begin);
+  mMetrics.NoteStoreCall(aCall);
+  co_return result;
+}
+
 LogStore::Async<uint64_t>
 MeasuredStore::Append(StreamName aStream, std::vector<std::string> aRecords, Millis aTimeout)
 {
-  const base::TimePoint begin = base::Clock::now();
   StoreCall call{ StoreOperation::Append, aStream };
   for (const std::string& record : aRecords) {
     call.mBytesSent += record.size();
   }
-  auto result = co_await mStore->Append(aStream, std::move(aRecords), aTimeout);
-  call.mSucceeded = base::IsOk(result);
-  Note(call, begin);
-  co_return result;
+  return Measure(call, mStore->Append(aStream, std::move(aRecords), aTimeout));
 }
 
 LogStore::Async<uint64_t>
 MeasuredStore::Put(StreamName aStream, std::string aKey, std::string aValue, Millis aTimeout)
 {
-  const base::TimePoint begin = base::Clock::now();
   StoreCall call{ StoreOperation::Put, aStream };
   call.mBytesSent = aKey.size() + aValue.size();
-  auto result = co_await mStore->Put(aStream, std::move(aKey), std::move(aValue), aTimeout);
-  call.mSucceeded = base::IsOk(result);
-  Note(call, begin);
-  co_return result;
+  return Measure(call, mStore->Put(aStream, std::move(aKey), std::move(aValue), aTimeout));
 }
 
 LogStore::Async<StreamPage>
 MeasuredStore::Read(StreamName aStream, ReadRange aRange, Millis aTimeout)
 {
-  const base::TimePoint begin = base::Clock::now();
-  StoreCall call{ StoreOperation::Read, aStream };
-  auto result = co_await mStore->Read(aStream, aRange, aTimeout);
-  call.mSucceeded = base::IsOk(result);
-  call.mBytesRead = call.mSucceeded ? BytesOf(base::ValueOf(result).mRecords) : 0;
-  Note(call, begin);
-  co_return result;
+  const StoreCall call{ StoreOperation::Read, aStream };
+  return Measure(call, mStore->Read(aStream, aRange, aTimeout));
 }
 
 LogStore::Async<StreamSnapshot>
 MeasuredStore::Newest(StreamName aStream, Millis aTimeout)
 {
-  const base::TimePoint begin = base::Clock::now();
-  StoreCall call{ StoreOperation::Newest, aStream };
-  auto result = co_await mStore->Newest(aStream, aTimeout);
-  call.mSucceeded = base::IsOk(result);
-  call.mBytesRead = call.mSucceeded ? BytesOf(base::ValueOf(result).mRecords) : 0;
-  Note(call, begin);
-  co_return result;
+  const StoreCall call{ StoreOperation::Newest, aStream };
+  return Measure(call, mStore->Newest(aStream, aTimeout));
 }
 
 }
--- a/modules/gateway/src/measured_store.h
+++ b/modules/gateway/src/measured_store.h
@@ -27,7 +27,9 @@
   Async<StreamSnapshot> Newest(StreamName aStream, base::Millis aTimeout) override;
 
 private:
-  void Note(StoreCall aCall, base::TimePoint aBegin);
+  // Runs aOperation and counts it as aCall with its time and result.
+  template<typename T>
+  Async<T> Measure(StoreCall aCall, Async<T> aOperation);
 
   std::unique_ptr<LogStore> mStore;
   Metrics& mMetrics;
--- a/modules/gateway/src/program_log.cpp
+++ b/modules/gateway/src/program_log.cpp
@@ -1,10 +1,10 @@
 #include "program_log.h"
 
+#include "elapsed.h"
 #include "sycamore/base/log.h"
 #include "sycamore/programs/record_codec.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
 #include <chrono>
 #include <iterator>
 #include <utility>
@@ -40,12 +40,6 @@
   return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch());
 }
 
-static Millis
-TimeLeft(base::TimePoint aDeadline)
-{
-  return std::chrono::duration_cast<Millis>(aDeadline - base::Clock::now());
-}
-
 ProgramLog::ProgramLog(const boost::asio::any_io_executor& aExecutor, LogStore& aStore)
   : mExecutor(aExecutor)
   , mStore(aStore)
@@ -69,53 +63,35 @@
   std::vector<StreamRecord> mRecords;
 };
 
-// The parts of a split load, from the first to the last.
-struct ProgramLog::SplitLoad
-{
-  explicit SplitLoad(const boost::asio::any_io_executor& aExecutor)
-    : mChanged(aExecutor)
-  {
-  }
-
-  std::vector<Part> mParts;
-  size_t mRunning = 0;
-  Signal mChanged;
-};
-
 boost::asio::awaitable<void>
-ProgramLog::ReadPart(std::shared_ptr<SplitLoad> aLoad, size_t aIndex)
+ProgramLog::ReadPart(Part& aPart)
 {
-  Part& part = aLoad->mParts[aIndex];
-  while (part.mNext < part.mEnd) {
-    const ReadRange range{ part.mNext, Millis(0), kLoadKilobytes };
+  while (aPart.mNext < aPart.mEnd) {
+    const ReadRange range{ aPart.mNext, Millis(0), kLoadKilobytes };
     auto page = co_await mStore.Read(StreamName::Programs, range, kLoadTimeout);
     if (!base::IsOk(page) || base::ValueOf(page).mRecords.empty()) {
       break; // What is missing is read by the next round.
     }
     StreamPage read = base::TakeValue(std::move(page));
-    part.mNext = read.mNext;
-    std::move(read.mRecords.begin(), read.mRecords.end(), std::back_inserter(part.mRecords));
+    aPart.mNext = read.mNext;
+    std::move(read.mRecords.begin(), read.mRecords.end(), std::back_inserter(aPart.mRecords));
   }
-  --aLoad->mRunning;
-  aLoad->mChanged.NotifyAll();
 }
 
 boost::asio::awaitable<void>
 ProgramLog::LoadSplit()
 {
-  const auto load = std::make_shared<SplitLoad>(mExecutor);
+  std::vector<Part> parts;
   const uint64_t size = (mEnd - mNext) / kLoadReaders + 1;
   for (uint64_t from = mNext; from < mEnd; from += size) {
-    load->mParts.push_back({ from, std::min(from + size, mEnd), {} });
-  }
-  load->mRunning = load->mParts.size();
-  for (size_t i = 0; i < load->mParts.size(); ++i) {
-    boost::asio::co_spawn(mExecutor, ReadPart(load, i), LogFailure{});
+    parts.push_back({ from, std::min(from + size, mEnd), {} });
   }
-  while (load->mRunning > 0) {
-    co_await load->mChanged.WaitUntil(base::TimePoint::max());
+  TaskGroup readers(mExecutor);
+  for (Part& part : parts) {
+    readers.Spawn(ReadPart(part));
   }
-  for (const Part& part : load->mParts) {
+  co_await readers.Wait();
+  for (const Part& part : parts) {
     ApplyRecords(part.mRecords);
     if (part.mNext < part.mEnd) {
       break; // The records after the gap have to wait for it.
@@ -136,13 +112,12 @@
       co_await LoadSplit();
     }
   }
-  const auto took = std::chrono::duration_cast<Millis>(base::Clock::now() - started);
   base::Log(LogEvent::HistoryLoaded,
             "records={} programs={} turns={} took_ms={}",
             mNext,
             mBook.ProgramCount(),
             mBook.TurnCount(),
-            took.count());
+            Since(started).count());
   co_await Follow();
 }
 
@@ -222,7 +197,7 @@
 {
   // A read that is under way may have passed the store already.
   const uint64_t needed = mFreshStarted + 1;
-  while (mLoaded && mFreshDone < needed && TimeLeft(aDeadline) > Millis(0)) {
+  while (mLoaded && mFreshDone < needed && Until(aDeadline) > Millis(0)) {
     if (mFreshStarted > mFreshEnded) {
       co_await mApplied.WaitUntil(aDeadline);
       continue;
@@ -250,7 +225,7 @@
   std::optional<uint64_t> end; // Of the stream when the first page was read.
   while (!end || mNext < *end) {
     const ReadRange range{ mNext, Millis(0) };
-    const Millis limit = std::clamp(TimeLeft(aDeadline), Millis(1), kCatchUpTimeout);
+    const Millis limit = std::clamp(Until(aDeadline), Millis(1), kCatchUpTimeout);
     const auto read = co_await ReadOnce(range, limit);
     if (!base::IsOk(read)) {
       co_return base::ErrorOf(read);
--- a/modules/gateway/src/program_log.h
+++ b/modules/gateway/src/program_log.h
@@ -11,7 +11,6 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
-#include <memory>
 #include <vector>
 
 namespace sycamore::gateway {
@@ -55,11 +54,10 @@
 
 private:
   struct Part;
-  struct SplitLoad;
 
   // Reads the parts of the stream that are known to exist side by side.
   boost::asio::awaitable<void> LoadSplit();
-  boost::asio::awaitable<void> ReadPart(std::shared_ptr<SplitLoad> aLoad, size_t aIndex);
+  boost::asio::awaitable<void> ReadPart(Part& aPart);
   boost::asio::awaitable<void> Follow();
   void ApplyRecords(const std::vector<StreamRecord>& aRecords);
   void ApplyPage(const StreamPage& aPage);
--- a/modules/gateway/src/refusal.cpp
+++ b/modules/gateway/src/refusal.cpp
@@ -1,5 +1,7 @@
 #include "refusal.h"
 
+#include "elapsed.h"
+
 #include <algorithm>
 
 namespace sycamore::gateway {
@@ -15,7 +17,7 @@
   const base::Answer& answer = base::AnswerFor(aError.mKind);
   std::optional<Millis> retryAfter;
   if (answer.mRun == base::RunState::NotRun && answer.mRetryable) {
-    const auto left = std::chrono::duration_cast<Millis>(aCall.mDeadline - base::Clock::now());
+    const auto left = Until(aCall.mDeadline);
     retryAfter = std::clamp(left / kMostOfTimeLeft, Millis(0), aRetryAfter);
   }
   WholeAnswer refusal = ErrorAnswer(aError, retryAfter);
--- a/modules/gateway/src/relay_client.cpp
+++ b/modules/gateway/src/relay_client.cpp
@@ -4,10 +4,10 @@
 #include "frame_io.h"
 #include "relay_codec.h"
 #include "replica_connection.h"
+#include "sycamore/http/idle_socket.h"
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
-#include <sys/socket.h>
 #include <utility>
 
 namespace sycamore::gateway {
@@ -27,22 +27,13 @@
 {
 }
 
-static bool
-IsOpen(boost::beast::tcp_stream& aStream)
-{
-  char byte = 0;
-  const ssize_t received =
-    ::recv(aStream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 LogStore::Async<RelayClient::Connection>
 RelayClient::Connect(base::TimePoint aDeadline)
 {
   while (!mIdle.empty()) {
     Connection idle = std::move(mIdle.back());
     mIdle.pop_back();
-    if (IsOpen(*idle)) {
+    if (http::IsIdle(idle->socket().native_handle())) {
       co_return std::move(idle);
     }
   }
@@ -104,6 +95,18 @@
   aOut.records.push_back(std::move(bytes));
 }
 
+// What aDecode reads from the answer of a call, or the error of the call.
+template<typename T>
+static base::Result<T>
+AnswerOf(const base::Result<wire::RelayResponseT>& aResponse,
+         base::Result<T> (*aDecode)(const wire::RelayResponseT&))
+{
+  if (!base::IsOk(aResponse)) {
+    return base::ErrorOf(aResponse);
+  }
+  return aDecode(base::ValueOf(aResponse));
+}
+
 LogStore::Async<uint64_t>
 RelayClient::Append(StreamName aStream, std::vector<std::string> aRecords, Millis aTimeout)
 {
@@ -112,10 +115,7 @@
     AddRecord(record, request);
   }
   const auto response = co_await Call(std::move(request), aTimeout);
-  if (!base::IsOk(response)) {
-    co_return base::ErrorOf(response);
-  }
-  co_return OffsetOf(base::ValueOf(response));
+  co_return AnswerOf(response, OffsetOf);
 }
 
 LogStore::Async<uint64_t>
@@ -125,10 +125,7 @@
   request.key = std::move(aKey);
   AddRecord(aValue, request);
   const auto response = co_await Call(std::move(request), aTimeout);
-  if (!base::IsOk(response)) {
-    co_return base::ErrorOf(response);
-  }
-  co_return OffsetOf(base::ValueOf(response));
+  co_return AnswerOf(response, OffsetOf);
 }
 
 LogStore::Async<StreamPage>
@@ -139,20 +136,14 @@
   request.wait_ms = static_cast<uint32_t>(aRange.mWait.count());
   request.max_kb = aRange.mMaxKilobytes;
   const auto response = co_await Call(std::move(request), aTimeout);
-  if (!base::IsOk(response)) {
-    co_return base::ErrorOf(response);
-  }
-  co_return PageOf(base::ValueOf(response));
+  co_return AnswerOf(response, PageOf);
 }
 
 LogStore::Async<StreamSnapshot>
 RelayClient::Newest(StreamName aStream, Millis aTimeout)
 {
   const auto response = co_await Call(RequestOf(wire::RelayOperation::Newest, aStream), aTimeout);
-  if (!base::IsOk(response)) {
-    co_return base::ErrorOf(response);
-  }
-  co_return SnapshotOf(base::ValueOf(response));
+  co_return AnswerOf(response, SnapshotOf);
 }
 
 }
--- a/modules/gateway/src/relay_codec.cpp
+++ b/modules/gateway/src/relay_codec.cpp
@@ -1,62 +1,46 @@
 #include "relay_codec.h"
 
+#include "sycamore/wire/table_codec.h"
+
 #include <boost/endian/conversion.hpp>
-#include <flatbuffers/flatbuffers.h>
 #include <utility>
 
 namespace sycamore::gateway {
 
 using base::ErrorKind;
 
-template<typename Table, typename Object>
+// aTable with its length before it.
 static std::string
-Frame(const Object& aMessage)
+Frame(const std::string& aTable)
 {
-  flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(Table::Pack(builder, &aMessage));
   std::string frame(4, '\0');
-  boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(frame.data()), builder.GetSize());
-  frame.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
-  return frame;
-}
-
-template<typename Table, typename Object>
-static std::optional<Object>
-Parse(std::string_view aBytes)
-{
-  // The verifier requires aligned data, which a slice of a buffer does not guarantee.
-  const std::vector<uint8_t> aligned(aBytes.begin(), aBytes.end());
-  flatbuffers::Verifier verifier(aligned.data(), aligned.size());
-  if (!verifier.VerifyBuffer<Table>(nullptr)) {
-    return std::nullopt;
-  }
-  Object message;
-  flatbuffers::GetRoot<Table>(aligned.data())->UnPackTo(&message);
-  return message;
+  boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(frame.data()),
+                               static_cast<uint32_t>(aTable.size()));
+  return frame + aTable;
 }
 
 std::string
 FrameRequest(const wire::RelayRequestT& aMessage)
 {
-  return Frame<wire::RelayRequest>(aMessage);
+  return Frame(wire::EncodeTable<wire::RelayRequest>(aMessage));
 }
 
 std::string
 FrameResponse(const wire::RelayResponseT& aMessage)
 {
-  return Frame<wire::RelayResponse>(aMessage);
+  return Frame(wire::EncodeTable<wire::RelayResponse>(aMessage));
 }
 
 std::optional<wire::RelayRequestT>
 ParseRequest(std::string_view aBytes)
 {
-  return Parse<wire::RelayRequest, wire::RelayRequestT>(aBytes);
+  return wire::DecodeTable<wire::RelayRequest>(aBytes);
 }
 
 std::optional<wire::RelayResponseT>
 ParseResponse(std::string_view aBytes)
 {
-  return Parse<wire::RelayResponse, wire::RelayResponseT>(aBytes);
+  return wire::DecodeTable<wire::RelayResponse>(aBytes);
 }
 
 static wire::RelayResponseT
--- a/modules/gateway/src/replica_connection.cpp
+++ b/modules/gateway/src/replica_connection.cpp
@@ -1,5 +1,7 @@
 #include "replica_connection.h"
 
+#include "sycamore/http/idle_socket.h"
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -9,11 +11,8 @@
 bool
 IsQuiet(ReplicaConnection& aConnection)
 {
-  char byte = 0;
-  const ssize_t received =
-    ::recv(aConnection.mStream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return aConnection.mBuffer.size() == 0 && received < 0 &&
-         (errno == EAGAIN || errno == EWOULDBLOCK);
+  return aConnection.mBuffer.size() == 0 &&
+         http::IsIdle(aConnection.mStream.socket().native_handle());
 }
 
 static void
--- a/modules/gateway/src/replica_connection.h
+++ b/modules/gateway/src/replica_connection.h
@@ -20,7 +20,6 @@
   boost::beast::tcp_stream mStream;
   boost::beast::flat_buffer mBuffer;
   base::TimePoint mUsableUntil; // While idle: after it the replica may close the connection.
-  bool mReused = false;         // Carried a call before.
 };
 
 using ReplicaConnectionPtr = std::unique_ptr<ReplicaConnection>;
--- a/modules/gateway/src/replica_exchange.cpp
+++ b/modules/gateway/src/replica_exchange.cpp
@@ -1,6 +1,7 @@
 #include "replica_exchange.h"
 
 #include "async.h"
+#include "elapsed.h"
 
 #include <algorithm>
 #include <array>
@@ -136,7 +137,7 @@
 boost::asio::awaitable<bool>
 Exchange::Connect()
 {
-  const auto left = std::chrono::duration_cast<Millis>(mDeadline - base::Clock::now());
+  const auto left = Until(mDeadline);
   auto acquired = co_await mContext.mPool.Acquire(mState, std::min(left, kConnectTimeout));
   if (!base::IsOk(acquired)) {
     NoteFailure(*mState, base::Clock::now());
--- a/modules/gateway/src/replica_pool.cpp
+++ b/modules/gateway/src/replica_pool.cpp
@@ -48,7 +48,6 @@
     ReplicaConnectionPtr connection = std::move(aState.mIdle.back());
     aState.mIdle.pop_back();
     if (base::Clock::now() < connection->mUsableUntil && IsQuiet(*connection)) {
-      connection->mReused = true;
       return connection;
     }
   }
--- a/modules/gateway/src/state_dump.cpp
+++ b/modules/gateway/src/state_dump.cpp
@@ -1,5 +1,7 @@
 #include "state_dump.h"
 
+#include "elapsed.h"
+
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -7,21 +9,14 @@
 namespace sycamore::gateway {
 
 namespace json = boost::json;
-using base::Millis;
-
-static Millis
-AgeOf(base::TimePoint aTime)
-{
-  return std::chrono::duration_cast<Millis>(base::Clock::now() - aTime);
-}
 
 Gauges
 GaugesOf(const Context& aContext)
 {
   Gauges gauges;
   gauges.mConfigurationVersion = aContext.mRoutes ? aContext.mRoutes->mVersion : 0;
-  gauges.mConfigurationAge = AgeOf(aContext.mRoutesConfirmedAt);
-  gauges.mReplicaListAge = AgeOf(aContext.mReplicasConfirmedAt);
+  gauges.mConfigurationAge = Since(aContext.mRoutesConfirmedAt);
+  gauges.mReplicaListAge = Since(aContext.mReplicasConfirmedAt);
   gauges.mReplicas = aContext.mReplicas.Size();
   gauges.mPrograms = aContext.mPrograms.Book().ProgramCount();
   gauges.mTurns = aContext.mPrograms.Book().TurnCount();
@@ -46,7 +41,7 @@
   if (aState.mLoad) {
     row["running"] = aState.mLoad->mRunning;
     row["waiting"] = aState.mLoad->mWaiting;
-    row["load_age_ms"] = AgeOf(aState.mLoadAt).count();
+    row["load_age_ms"] = Since(aState.mLoadAt).count();
   }
   return row;
 }
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -1,5 +1,6 @@
 #include "turn_runner.h"
 
+#include "elapsed.h"
 #include "refusal.h"
 #include "sycamore/base/log.h"
 
@@ -169,8 +170,7 @@
   } else {
     const auto state = log.Book().ReservationOf(aEvent.mProgram, aEvent.mAttempt);
     aState->mGranted = state == Reservation::Granted;
-    const auto took = std::chrono::duration_cast<Millis>(base::Clock::now() - begin);
-    aContext.mMetrics.NoteReservation(took);
+    aContext.mMetrics.NoteReservation(Since(begin));
   }
   aState->mDone = true;
   aState->mChanged.NotifyAll();
@@ -215,8 +215,7 @@
   if (std::exchange(mHeaderSent, true)) {
     co_return true;
   }
-  const auto took = std::chrono::duration_cast<Millis>(base::Clock::now() - mCall.mArrived);
-  mContext.mMetrics.NoteFirstEvent(took);
+  mContext.mMetrics.NoteFirstEvent(Since(mCall.mArrived));
   co_return co_await mLink.BeginStream(std::move(mHeader));
 }
 
@@ -286,17 +285,12 @@
 }
 
 boost::asio::awaitable<void>
-TurnRunner::StoreText(Context& aContext,
-                      programs::TurnText aText,
-                      base::TimePoint aDeadline,
-                      std::shared_ptr<TextState> aState)
+TurnRunner::StoreText(programs::TurnText aText, std::optional<uint64_t>& aOutOffset)
 {
-  const auto appended = co_await aContext.mTexts.Append(std::move(aText), aDeadline);
+  const auto appended = co_await mContext.mTexts.Append(std::move(aText), mCall.mDeadline);
   if (base::IsOk(appended)) {
-    aState->mOffset = base::ValueOf(appended);
+    aOutOffset = base::ValueOf(appended);
   }
-  aState->mDone = true;
-  aState->mChanged.NotifyAll();
 }
 
 boost::asio::awaitable<bool>
@@ -314,20 +308,16 @@
                                 mContext.mTexts.Next(),
                                 static_cast<uint32_t>(text.Bytes()) };
   // Both records travel at the same time: a far region needs 70 ms for each.
-  const auto stored = std::make_shared<TextState>(mContext.mExecutor);
-  boost::asio::co_spawn(mContext.mExecutor,
-                        StoreText(mContext, std::move(text), mCall.mDeadline, stored),
-                        LogFailure{});
+  std::optional<uint64_t> textOffset;
+  TaskGroup textAppend(mContext.mExecutor);
+  textAppend.Spawn(StoreText(std::move(text), textOffset));
   const auto appended = co_await mContext.mPrograms.Append(std::move(turn), mCall.mDeadline);
-  while (!stored->mDone) {
-    co_await stored->mChanged.WaitUntil(base::TimePoint::max());
-  }
-  if (!base::IsOk(appended) || !stored->mOffset) {
+  co_await textAppend.Wait();
+  if (!base::IsOk(appended) || !textOffset) {
     co_return false;
   }
-  const auto took = std::chrono::duration_cast<Millis>(base::Clock::now() - begin);
-  mContext.mMetrics.NoteCommit(took);
-  const programs::TextPlaced placed{ head.mAttempt, *stored->mOffset };
+  mContext.mMetrics.NoteCommit(Since(begin));
+  const programs::TextPlaced placed{ head.mAttempt, *textOffset };
   mContext.mPrograms.AppendLater(placed, base::Clock::now() + kBackgroundLimit);
   co_return true;
 }
--- a/modules/gateway/src/turn_runner.h
+++ b/modules/gateway/src/turn_runner.h
@@ -48,19 +48,6 @@
     Signal mChanged;
   };
 
-  // Progress of the append of the texts; shared with the coroutine that appends them.
-  struct TextState
-  {
-    explicit TextState(const boost::asio::any_io_executor& aExecutor)
-      : mChanged(aExecutor)
-    {
-    }
-
-    bool mDone = false;
-    std::optional<uint64_t> mOffset; // Set once the store has the texts.
-    Signal mChanged;
-  };
-
   // Finds the turns that the prompt is made of.
   boost::asio::awaitable<std::optional<base::Error>> FindChain();
   boost::asio::awaitable<std::optional<base::Error>> MakePrompt();
@@ -78,10 +65,9 @@
                                               programs::AttemptReserved aEvent,
                                               base::TimePoint aDeadline,
                                               std::shared_ptr<ReservationState> aState);
-  static boost::asio::awaitable<void> StoreText(Context& aContext,
-                                                programs::TurnText aText,
-                                                base::TimePoint aDeadline,
-                                                std::shared_ptr<TextState> aState);
+  // Appends aText until the caller's deadline; sets aOutOffset once the store has it.
+  boost::asio::awaitable<void> StoreText(programs::TurnText aText,
+                                         std::optional<uint64_t>& aOutOffset);
   void StartReservation();
   void ReleaseReservation(uint64_t aTokens);
   uint64_t TokensHandedOut() const;
--- a/modules/gateway/src/turn_texts.cpp
+++ b/modules/gateway/src/turn_texts.cpp
@@ -3,7 +3,6 @@
 #include "sycamore/base/log.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
 #include <optional>
 #include <utility>
 
@@ -32,18 +31,11 @@
 // Reads that serve one prompt.
 struct TurnTexts::Batch
 {
-  explicit Batch(const boost::asio::any_io_executor& aExecutor)
-    : mChanged(aExecutor)
-  {
-  }
-
   std::vector<TextReference> mReferences;
   std::vector<TurnTextPtr> mTexts; // Null while not read.
   size_t mNext = 0;                // Of mReferences.
-  size_t mRunning = 0;
   base::TimePoint mDeadline;
   std::optional<base::Error> mError;
-  Signal mChanged;
 };
 
 TurnTexts::TurnTexts(const boost::asio::any_io_executor& aExecutor,
@@ -98,45 +90,41 @@
 boost::asio::awaitable<base::Result<std::vector<TurnTextPtr>>>
 TurnTexts::Load(std::vector<TextReference> aReferences, base::TimePoint aDeadline)
 {
-  const auto batch = std::make_shared<Batch>(mExecutor);
-  batch->mDeadline = aDeadline;
-  batch->mTexts.reserve(aReferences.size());
+  Batch batch;
+  batch.mDeadline = aDeadline;
+  batch.mTexts.reserve(aReferences.size());
   size_t missing = 0;
   for (const TextReference& reference : aReferences) {
-    batch->mTexts.push_back(Find(reference.mAttempt));
-    missing += batch->mTexts.back() == nullptr ? 1 : 0;
+    batch.mTexts.push_back(Find(reference.mAttempt));
+    missing += batch.mTexts.back() == nullptr ? 1 : 0;
   }
-  batch->mReferences = std::move(aReferences);
-  batch->mRunning = std::min(missing, kReadsAtOnce);
+  batch.mReferences = std::move(aReferences);
+  TaskGroup readers(mExecutor);
   for (size_t i = 0; i < std::min(missing, kReadsAtOnce); ++i) {
-    boost::asio::co_spawn(mExecutor, RunReads(batch), LogFailure{});
-  }
-  while (batch->mRunning > 0) {
-    co_await batch->mChanged.WaitUntil(base::TimePoint::max());
+    readers.Spawn(RunReads(batch));
   }
-  if (batch->mError) {
-    co_return std::move(*batch->mError);
+  co_await readers.Wait();
+  if (batch.mError) {
+    co_return std::move(*batch.mError);
   }
-  co_return std::move(batch->mTexts);
+  co_return std::move(batch.mTexts);
 }
 
 boost::asio::awaitable<void>
-TurnTexts::RunReads(std::shared_ptr<Batch> aBatch)
+TurnTexts::RunReads(Batch& aBatch)
 {
-  while (aBatch->mNext < aBatch->mReferences.size() && !aBatch->mError) {
-    const size_t index = aBatch->mNext++;
-    if (aBatch->mTexts[index] != nullptr) {
+  while (aBatch.mNext < aBatch.mReferences.size() && !aBatch.mError) {
+    const size_t index = aBatch.mNext++;
+    if (aBatch.mTexts[index] != nullptr) {
       continue;
     }
-    auto text = co_await ReadOne(aBatch->mReferences[index], aBatch->mDeadline);
+    auto text = co_await ReadOne(aBatch.mReferences[index], aBatch.mDeadline);
     if (base::IsOk(text)) {
-      aBatch->mTexts[index] = base::TakeValue(std::move(text));
+      aBatch.mTexts[index] = base::TakeValue(std::move(text));
     } else {
-      aBatch->mError = base::ErrorOf(text);
+      aBatch.mError = base::ErrorOf(text);
     }
   }
-  --aBatch->mRunning;
-  aBatch->mChanged.NotifyAll();
 }
 
 static std::optional<TurnText>
--- a/modules/gateway/src/turn_texts.h
+++ b/modules/gateway/src/turn_texts.h
@@ -63,7 +63,7 @@
     std::list<std::string>::iterator mUse; // In mUses.
   };
 
-  boost::asio::awaitable<void> RunReads(std::shared_ptr<Batch> aBatch);
+  boost::asio::awaitable<void> RunReads(Batch& aBatch);
   boost::asio::awaitable<base::Result<TurnTextPtr>> ReadOne(TextReference aReference,
                                                             base::TimePoint aDeadline);
   TurnTextPtr Find(const std::string& aAttempt);
--- a/modules/programs/src/record_codec.cpp
+++ b/modules/programs/src/record_codec.cpp
@@ -1,11 +1,11 @@
 #include "sycamore/programs/record_codec.h"
 
 #include "sycamore/wire/program_record_generated.h"
+#include "sycamore/wire/table_codec.h"
 
 #include <algorithm>
 #include <cassert>
 #include <charconv>
-#include <flatbuffers/flatbuffers.h>
 #include <fmt/format.h>
 #include <iterator>
 #include <utility>
@@ -39,6 +39,15 @@
   return aPacked == 0 ? aText : fmt::format("{:016x}", aPacked);
 }
 
+template<typename Table>
+static wire::ProgramEventUnion
+EventOf(Table aTable)
+{
+  wire::ProgramEventUnion event;
+  event.Set(std::move(aTable));
+  return event;
+}
+
 static wire::ProgramEventUnion
 ToWire(const AttemptReserved& aEvent)
 {
@@ -47,9 +56,7 @@
   table.program = aEvent.mProgram;
   table.budget_tokens = aEvent.mBudgetTokens;
   table.max_tokens = aEvent.mMaxTokens;
-  wire::ProgramEventUnion event;
-  event.Set(std::move(table));
-  return event;
+  return EventOf(std::move(table));
 }
 
 static wire::ProgramEventUnion
@@ -59,9 +66,7 @@
   PackId(aEvent.mAttempt, table.attempt, table.attempt_text);
   table.program = aEvent.mProgram;
   table.tokens = aEvent.mTokens;
-  wire::ProgramEventUnion event;
-  event.Set(std::move(table));
-  return event;
+  return EventOf(std::move(table));
 }
 
 static wire::ProgramEventUnion
@@ -76,9 +81,7 @@
   table.retention_ms = static_cast<uint64_t>(aEvent.mRetention.count());
   table.text_from = aEvent.mTextFrom;
   table.text_bytes = aEvent.mTextBytes;
-  wire::ProgramEventUnion event;
-  event.Set(std::move(table));
-  return event;
+  return EventOf(std::move(table));
 }
 
 static wire::ProgramEventUnion
@@ -87,9 +90,7 @@
   wire::TextPlacedT table;
   PackId(aEvent.mAttempt, table.attempt, table.attempt_text);
   table.offset = aEvent.mOffset;
-  wire::ProgramEventUnion event;
-  event.Set(std::move(table));
-  return event;
+  return EventOf(std::move(table));
 }
 
 static std::optional<ProgramEvent>
@@ -130,24 +131,18 @@
   for (const ProgramEvent& event : aRecord.mEvents) {
     table.events.push_back(std::visit([](const auto& aEvent) { return ToWire(aEvent); }, event));
   }
-  flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(wire::ProgramRecord::Pack(builder, &table));
-  return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+  return wire::EncodeTable<wire::ProgramRecord>(table);
 }
 
 std::optional<ProgramRecord>
 DecodeRecord(std::string_view aBytes)
 {
-  // The verifier requires aligned data, which a slice of a response does not guarantee.
-  const std::vector<uint8_t> aligned(aBytes.begin(), aBytes.end());
-  flatbuffers::Verifier verifier(aligned.data(), aligned.size());
-  if (!wire::VerifyProgramRecordBuffer(verifier)) {
+  const auto table = wire::DecodeTable<wire::ProgramRecord>(aBytes);
+  if (!table) {
     return std::nullopt;
   }
-  wire::ProgramRecordT table;
-  wire::GetProgramRecord(aligned.data())->UnPackTo(&table);
-  ProgramRecord record{ base::Millis(table.unix_ms), {} };
-  for (const wire::ProgramEventUnion& entry : table.events) {
+  ProgramRecord record{ base::Millis(table->unix_ms), {} };
+  for (const wire::ProgramEventUnion& entry : table->events) {
     auto event = FromWire(entry);
     if (!event) {
       return std::nullopt;
--- a/modules/programs/src/turn_text.cpp
+++ b/modules/programs/src/turn_text.cpp
@@ -1,10 +1,10 @@
 #include "sycamore/programs/turn_text.h"
 
+#include "sycamore/wire/table_codec.h"
 #include "sycamore/wire/turn_text_generated.h"
 
 #include <cstdint>
 #include <flatbuffers/flatbuffers.h>
-#include <vector>
 
 namespace sycamore::programs {
 
@@ -31,13 +31,11 @@
 std::optional<TurnText>
 DecodeText(std::string_view aBytes)
 {
-  // The verifier requires aligned data, which a slice of a response does not guarantee.
-  const std::vector<uint8_t> aligned(aBytes.begin(), aBytes.end());
-  flatbuffers::Verifier verifier(aligned.data(), aligned.size());
-  if (!wire::VerifyTurnTextBuffer(verifier)) {
+  const auto bytes = wire::VerifiedCopy<wire::TurnText>(aBytes);
+  if (!bytes) {
     return std::nullopt;
   }
-  const wire::TurnText* text = wire::GetTurnText(aligned.data());
+  const wire::TurnText* text = wire::GetTurnText(bytes->data());
   if (text->attempt() == nullptr) {
     return std::nullopt;
   }
