Bound the wait of a read that a gateway makes for a peer

Cause: the four calls of the store were built twice, for the own way and for peers, and only the first copy bounded the wait of a read to half of its limit. A read for a peer on a way that had failed asked for up to a second within 350 ms: on a quiet stream it timed out although the store answered, so that the way seemed to fail on.

Change: one function builds each call; both use it. The new test reads for a peer after a failure; without the bound it fails (wait of 1000 ms).

--- a/modules/gateway/src/store_paths.cpp
+++ b/modules/gateway/src/store_paths.cpp
@@ -1,5 +1,7 @@
 #include "store_paths.h"
 
+#include "elapsed.h"
+
 #include "sycamore/base/log.h"
 
 #include <algorithm>
@@ -57,7 +59,7 @@
 Millis
 StorePaths::SinceSuccess() const
 {
-  return std::chrono::duration_cast<Millis>(base::Clock::now() - mLastSuccess);
+  return Since(mLastSuccess);
 }
 
 // Whether aPath may be tried now. A try while it fails takes the turn of others for a while.
@@ -165,82 +167,85 @@
   co_return error;
 }
 
-LogStore::Async<uint64_t>
-StorePaths::Append(StreamName aStream, std::vector<std::string> aRecords, Millis aTimeout)
+// The calls as operations, which run on whichever way is chosen.
+static StorePaths::Operation<uint64_t>
+AppendOperation(StreamName aStream, std::vector<std::string> aRecords)
 {
-  Operation<uint64_t> operation = [aStream, records = std::move(aRecords)](LogStore& aStore,
-                                                                           Millis aLimit) {
+  return [aStream, records = std::move(aRecords)](LogStore& aStore, Millis aLimit) {
     return aStore.Append(aStream, records, aLimit);
   };
-  return OnAnyPath<uint64_t>(std::move(operation), aTimeout);
 }
 
-LogStore::Async<uint64_t>
-StorePaths::Put(StreamName aStream, std::string aKey, std::string aValue, Millis aTimeout)
+static StorePaths::Operation<uint64_t>
+PutOperation(StreamName aStream, std::string aKey, std::string aValue)
 {
-  Operation<uint64_t> operation =
-    [aStream, key = std::move(aKey), value = std::move(aValue)](LogStore& aStore, Millis aLimit) {
-      return aStore.Put(aStream, key, value, aLimit);
-    };
-  return OnAnyPath<uint64_t>(std::move(operation), aTimeout);
+  return [aStream, key = std::move(aKey), value = std::move(aValue)](
+           LogStore& aStore, Millis aLimit) { return aStore.Put(aStream, key, value, aLimit); };
 }
 
-LogStore::Async<StreamPage>
-StorePaths::Read(StreamName aStream, ReadRange aRange, Millis aTimeout)
+static StorePaths::Operation<StreamPage>
+ReadOperation(StreamName aStream, ReadRange aRange)
 {
-  Operation<StreamPage> operation = [aStream, aRange](LogStore& aStore, Millis aLimit) {
+  return [aStream, aRange](LogStore& aStore, Millis aLimit) {
+    // A wait as long as the limit would look like a way that does not answer.
     ReadRange range = aRange;
     range.mWait = std::min(range.mWait, aLimit / 2);
     return aStore.Read(aStream, range, aLimit);
   };
-  return OnAnyPath<StreamPage>(std::move(operation), aTimeout);
+}
+
+static StorePaths::Operation<StreamSnapshot>
+NewestOperation(StreamName aStream)
+{
+  return [aStream](LogStore& aStore, Millis aLimit) { return aStore.Newest(aStream, aLimit); };
+}
+
+LogStore::Async<uint64_t>
+StorePaths::Append(StreamName aStream, std::vector<std::string> aRecords, Millis aTimeout)
+{
+  return OnAnyPath(AppendOperation(aStream, std::move(aRecords)), aTimeout);
+}
+
+LogStore::Async<uint64_t>
+StorePaths::Put(StreamName aStream, std::string aKey, std::string aValue, Millis aTimeout)
+{
+  return OnAnyPath(PutOperation(aStream, std::move(aKey), std::move(aValue)), aTimeout);
+}
+
+LogStore::Async<StreamPage>
+StorePaths::Read(StreamName aStream, ReadRange aRange, Millis aTimeout)
+{
+  return OnAnyPath(ReadOperation(aStream, aRange), aTimeout);
 }
 
 LogStore::Async<StreamSnapshot>
 StorePaths::Newest(StreamName aStream, Millis aTimeout)
 {
-  Operation<StreamSnapshot> operation = [aStream](LogStore& aStore, Millis aLimit) {
-    return aStore.Newest(aStream, aLimit);
-  };
-  return OnAnyPath<StreamSnapshot>(std::move(operation), aTimeout);
+  return OnAnyPath(NewestOperation(aStream), aTimeout);
 }
 
 LogStore::Async<uint64_t>
 StorePaths::Guarded::Append(StreamName aStream, std::vector<std::string> aRecords, Millis aTimeout)
 {
-  Operation<uint64_t> operation = [aStream, records = std::move(aRecords)](LogStore& aStore,
-                                                                           Millis aLimit) {
-    return aStore.Append(aStream, records, aLimit);
-  };
-  return mPaths.OnDirect<uint64_t>(std::move(operation), aTimeout);
+  return mPaths.OnDirect(AppendOperation(aStream, std::move(aRecords)), aTimeout);
 }
 
 LogStore::Async<uint64_t>
 StorePaths::Guarded::Put(StreamName aStream, std::string aKey, std::string aValue, Millis aTimeout)
 {
-  Operation<uint64_t> operation =
-    [aStream, key = std::move(aKey), value = std::move(aValue)](LogStore& aStore, Millis aLimit) {
-      return aStore.Put(aStream, key, value, aLimit);
-    };
-  return mPaths.OnDirect<uint64_t>(std::move(operation), aTimeout);
+  return mPaths.OnDirect(PutOperation(aStream, std::move(aKey), std::move(aValue)), aTimeout);
 }
 
 LogStore::Async<StreamPage>
 StorePaths::Guarded::Read(StreamName aStream, ReadRange aRange, Millis aTimeout)
 {
-  Operation<StreamPage> operation = [aStream, aRange](LogStore& aStore, Millis aLimit) {
-    return aStore.Read(aStream, aRange, aLimit);
-  };
-  return mPaths.OnDirect<StreamPage>(std::move(operation), aTimeout);
+  return mPaths.OnDirect(ReadOperation(aStream, aRange), aTimeout);
 }
 
 LogStore::Async<StreamSnapshot>
 StorePaths::Guarded::Newest(StreamName aStream, Millis aTimeout)
 {
-  Operation<StreamSnapshot> operation = [aStream](LogStore& aStore, Millis aLimit) {
-    return aStore.Newest(aStream, aLimit);
-  };
-  return mPaths.OnDirect<StreamSnapshot>(std::move(operation), aTimeout);
+  return mPaths.OnDirect(NewestOperation(aStream), aTimeout);
 }
 
 }
--- a/modules/gateway/src/store_paths.h
+++ b/modules/gateway/src/store_paths.h
@@ -22,6 +22,10 @@
 class StorePaths : public LogStore
 {
 public:
+  // A call that runs on the store that it is given, within the time limit.
+  template<typename T>
+  using Operation = std::function<Async<T>(LogStore&, base::Millis)>;
+
   StorePaths(const boost::asio::any_io_executor& aExecutor, std::unique_ptr<LogStore> aDirect);
 
   // Sets the other gateways, by instance.
@@ -81,9 +85,6 @@
     StorePaths& mPaths;
   };
 
-  template<typename T>
-  using Operation = std::function<Async<T>(LogStore&, base::Millis)>;
-
   template<typename T>
   Async<T> OnAnyPath(Operation<T> aOperation, base::Millis aTimeout);
   template<typename T>
--- a/modules/gateway/tests/fake_log_store.h
+++ b/modules/gateway/tests/fake_log_store.h
@@ -3,6 +3,7 @@
 #include "async.h"
 #include "sycamore/gateway/log_store.h"
 
+#include <algorithm>
 #include <boost/asio/any_io_executor.hpp>
 #include <map>
 #include <string>
@@ -45,6 +46,7 @@
   Async<StreamPage> Read(StreamName aStream, ReadRange aRange, base::Millis /*aTimeout*/) override
   {
     ++mReads;
+    mLongestWait = std::max(mLongestWait, aRange.mWait);
     co_await SleepFor(mLatency);
     if (mDown) {
       co_return base::Error{ base::ErrorKind::LogUnavailable, "down", "" };
@@ -77,6 +79,7 @@
   int mLostAnswers = 0; // Appends that take effect without an answer.
   int mAppends = 0;
   int mReads = 0;
+  base::Millis mLongestWait{ 0 }; // That a read asked for.
 };
 
 }
--- a/modules/gateway/tests/store_paths_test.cpp
+++ b/modules/gateway/tests/store_paths_test.cpp
@@ -117,4 +117,24 @@
   BOOST_TEST(mOwn->mStreams[StreamName::Programs].size() == 1U);
 }
 
+// Guards against a peer that never finds out that its way to a quiet stream works again: the wait
+// that it was asked for is longer than the limit of a call on a way that failed.
+BOOST_FIXTURE_TEST_CASE(StorePathsReadForAPeerWaitsLessThanItsLimit, StorePathsFixture)
+{
+  mPeerStore->mDown = true;
+  const auto read = [&]() -> boost::asio::awaitable<void> {
+    const ReadRange range{ 0, base::Millis(1000) };
+    mPage = co_await mPeer.DirectForPeers().Read(StreamName::Programs, range, base::Millis(1700));
+  };
+  Spawn(read());
+  RunUntil([&] { return mPage.has_value(); });
+  mPage.reset();
+  mPeerStore->mDown = false;
+  mPeerStore->mLongestWait = base::Millis(0);
+  Spawn(read());
+  RunUntil([&] { return mPage.has_value(); });
+  BOOST_TEST(base::IsOk(*mPage));
+  BOOST_TEST((mPeerStore->mLongestWait <= base::Millis(350 / 2)));
+}
+
 }
