--- a/modules/gateway/include/sycamore/gateway/call_head.h
+++ b/modules/gateway/include/sycamore/gateway/call_head.h
@@ -17,6 +17,9 @@
   std::optional<base::Millis> mProgramDeadline; // Time left until the whole program should end.
   std::optional<std::string> mPreviousTurn;     // Attempt of the turn that this one continues.
   std::optional<uint64_t> mBudgetTokens;        // Of the whole program.
+  // The caller resumes a stream after an event that it names by its id.
+  bool mResumes = false;
+  std::optional<uint64_t> mLastEvent; // That id; nothing if it is not a number.
   uint64_t mPromptTokens = 0;
   uint64_t mMaxOutputTokens = 0;
   bool mMalformed = false; // A header of the call has an invalid value.
--- a/modules/gateway/include/sycamore/gateway/header_codec.h
+++ b/modules/gateway/include/sycamore/gateway/header_codec.h
@@ -12,12 +12,21 @@
 
 namespace sycamore::gateway {
 
+// Where a broken stream is continued.
+struct ResumePoint
+{
+  uint64_t mLastEvent = 0;                // Id of the last whole event that was received.
+  std::optional<uint64_t> mWeightVersion; // Of the model that generated it, if known.
+};
+
 // Metadata that the gateway adds to a call sent to a replica.
 struct ReplicaCall
 {
   std::string mReplica; // The only replica that may run it.
   base::Millis mTimeLeft{ 0 };
   std::optional<uint32_t> mPriority; // 0 is the most urgent of 10.
+  // Nothing: the stream starts where the caller asked.
+  std::optional<ResumePoint> mResume = std::nullopt;
 };
 
 // Load that a replica reported with an answer.
@@ -35,6 +44,9 @@
   bool mSigned = false;  // Carries the replica's signature.
   bool mNotRun = false;  // States that the replica did not run the request.
   bool mEncoded = false; // The body has a content encoding.
+  // The replica that sent the answer leaves; it takes no new calls.
+  bool mLeaving = false;
+  std::optional<uint64_t> mWeightVersion; // Of the model that generates the answer.
   std::optional<ReportedLoad> mLoad;
   std::optional<base::Millis> mIdleTimeout; // After which the replica closes the connection.
 };
@@ -55,6 +67,9 @@
 
   virtual AnswerHead DecodeAnswer(const boost::beast::http::response_header<>& aHeader) const = 0;
 
+  // The version of the model's weights that aLine of an event announces, if it does.
+  virtual std::optional<uint64_t> DecodeWeightVersion(std::string_view aLine) const = 0;
+
   // Path of the load balancer's readiness check.
   virtual std::string_view ReadinessPath() const = 0;
 };
--- a/modules/gateway/include/sycamore/gateway/replica_list.h
+++ b/modules/gateway/include/sycamore/gateway/replica_list.h
@@ -25,6 +25,11 @@
   // Replaces the whole list; entries that are missing in aReplicas count as removed.
   void Replace(const std::map<std::string, Replica>& aReplicas, base::TimePoint aNow);
 
+  // Records that the incarnation aReplica said in an answer that it leaves. It is not usable again,
+  // whatever the platform lists and also if its entry expires and comes back. Returns whether that
+  // is news.
+  bool NoteLeaving(const Replica& aReplica, base::TimePoint aNow);
+
   // Records that the store failed to answer at aNow.
   void NoteStoreFailure(base::TimePoint aNow) { mLastStoreFailure = aNow; }
 
@@ -46,8 +51,18 @@
     std::optional<base::TimePoint> mUsableUntil; // Set once the entry was removed.
   };
 
+  // An incarnation that said that it leaves.
+  struct LeavingMark
+  {
+    http::Endpoint mEndpoint;
+    int64_t mStartedUnixMs = 0;
+    base::TimePoint mNotedAt;
+  };
+
   void Remove(const std::string& aId, base::TimePoint aNow);
+  bool SaidThatItLeaves(const Replica& aReplica) const;
 
+  std::map<std::string, LeavingMark> mLeaving; // By id.
   std::map<std::string, Entry> mEntries;
   std::optional<base::TimePoint> mLastStoreFailure;
 };
--- a/modules/gateway/include/sycamore/gateway/route_table.h
+++ b/modules/gateway/include/sycamore/gateway/route_table.h
@@ -40,6 +40,7 @@
   uint32_t mAttempts = 1;           // Most replicas that one attempt of a caller is sent to.
   uint32_t mPriority = 0;           // 0 is the most urgent.
   bool mKeepsHistory = false;       // Requests carry only the new input of a turn.
+  bool mResumable = false;          // A stream may be continued after its last event.
   base::Millis mRetention{ 0 };     // Time for which a turn can be continued.
   std::vector<Backend> mBackends;   // At least one.
 };
@@ -77,6 +78,10 @@
   CallerLimits mLimits;
 };
 
+// Whether a call on aRoute may run more than once.
+bool
+MayRunAgain(const Route& aRoute);
+
 // The route of aHost whose prefix is the longest that begins aPath, or null if none does. A port in
 // aHost and its case are ignored; aPath may carry a query.
 const Route*
--- a/modules/gateway/src/call_runner.cpp
+++ b/modules/gateway/src/call_runner.cpp
@@ -20,34 +20,6 @@
 // Deadline of a call that names none and whose route has no timeout.
 static constexpr Millis kDefaultDeadline{ 10000 };
 
-// Forwards a streamed answer that is not part of a history.
-class ForwardingSink : public StreamSink
-{
-public:
-  explicit ForwardingSink(CallerLink& aLink)
-    : mLink(aLink)
-  {
-  }
-
-  boost::asio::awaitable<bool> OnHeader(http::response_header<> aHeader) override
-  {
-    mBegun = true;
-    return mLink.BeginStream(std::move(aHeader));
-  }
-
-  boost::asio::awaitable<SinkResult> OnBytes(std::string_view aBytes) override
-  {
-    const bool sent = co_await mLink.SendPiece(aBytes);
-    co_return sent ? SinkResult::Continue : SinkResult::Cancel;
-  }
-
-  bool Begun() const { return mBegun; }
-
-private:
-  CallerLink& mLink;
-  bool mBegun = false;
-};
-
 // Counts an open call for its lifetime.
 class OpenCallGuard
 {
@@ -108,16 +80,8 @@
 static boost::asio::awaitable<CallOutcome>
 RunSingle(Context& aContext, CallerLink& aLink, Call& aCall)
 {
-  ForwardingSink sink(aLink);
-  const bool streams = aCall.mRoute->mKind == CallKind::Stream;
   const DispatchHint hint;
-  auto result = co_await Dispatch(
-    aContext, aLink, aCall, aCall.mRequest.body(), hint, streams ? &sink : nullptr);
-  if (result.mExchange.mStatus == ExchangeStatus::Streamed) {
-    const bool ended = co_await aLink.EndStream();
-    co_return ended ? CallOutcome{ CallEnd::Answered, "complete", {} }
-                    : CallOutcome{ CallEnd::CallerGone, "caller gone", {} };
-  }
+  auto result = co_await Dispatch(aContext, aLink, aCall, aCall.mRequest.body(), hint, nullptr);
   if (result.mExchange.mStatus == ExchangeStatus::Whole) {
     const auto status = result.mExchange.mAnswer.result_int();
     co_await aLink.SendWhole(std::move(result.mExchange.mAnswer));
@@ -128,9 +92,6 @@
   if (aLink.Gone()) {
     co_return CallOutcome{ CallEnd::CallerGone, "caller gone", {} };
   }
-  if (sink.Begun()) {
-    co_return CallOutcome{ CallEnd::BrokenOff, "broken off: " + result.mExchange.mDetail, {} };
-  }
   const base::Error error = ErrorFor(result);
   co_return co_await SendRefusal(aLink, aCall, error);
 }
@@ -145,7 +106,7 @@
   CallOutcome outcome;
   if (const auto error = ResolveCall(aContext, call)) {
     outcome = co_await SendRefusal(aLink, call, *error);
-  } else if (call.mRoute->mKind == CallKind::Stream && call.mRoute->mKeepsHistory) {
+  } else if (call.mRoute->mKind == CallKind::Stream) {
     TurnRunner runner(aContext, aLink, call);
     outcome = co_await runner.Run();
   } else {
--- a/modules/gateway/src/context.h
+++ b/modules/gateway/src/context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "metrics.h"
+#include "program_budgets.h"
 #include "program_log.h"
 #include "replica_pool.h"
 #include "store_paths.h"
@@ -26,6 +27,7 @@
           StorePaths& aStore,
           const HeaderCodec& aHeaderCodec,
           Metrics& aMetrics,
+          const std::string& aInstance,
           size_t aTextBytes)
     : mExecutor(aExecutor)
     , mHeaderCodec(aHeaderCodec)
@@ -33,6 +35,7 @@
     , mStore(aStore)
     , mPool(aExecutor)
     , mPrograms(aExecutor, aStore)
+    , mBudgets(aExecutor, mPrograms, aInstance)
     , mTexts(aExecutor, aStore, aTextBytes)
   {
   }
@@ -60,6 +63,7 @@
   base::TimePoint mReplicasConfirmedAt;
   ReplicaPool mPool;
   ProgramLog mPrograms;
+  ProgramBudgets mBudgets;
   TurnTexts mTexts;
   bool mStopping = false;
   size_t mCallsOpen = 0;
--- a/modules/gateway/src/dispatcher.cpp
+++ b/modules/gateway/src/dispatcher.cpp
@@ -17,6 +17,9 @@
 
 // Failed connects do not count as sends but take time, so they have a limit of their own.
 static constexpr uint32_t kMaxConnectFailures = 4;
+// Sends of one call after failures. A stream that breaks this often is more likely to break again
+// than to end.
+static constexpr uint32_t kMaxContinuations = 3;
 
 namespace {
 
@@ -57,7 +60,8 @@
 RequestFor(const Context& aContext,
            const Call& aCall,
            const std::string& aBody,
-           const Replica& aReplica)
+           const Replica& aReplica,
+           const std::optional<ResumePoint>& aResume)
 {
   CallerRequest request;
   request.base() = aCall.mRequest.base();
@@ -79,22 +83,71 @@
   }
   const auto left = Until(aCall.mDeadline);
   aContext.mHeaderCodec.PrepareForReplica(
-    request, { aReplica.mId, std::max(left, Millis(1)), std::nullopt });
+    request, { aReplica.mId, std::max(left, Millis(1)), std::nullopt, aResume });
   return request;
 }
 
+namespace {
+
+// Which replica, if any, a call goes to after an exchange.
+enum class NextStep : uint8_t
+{
+  Stop,
+  AnotherReplica,
+  SameReplica, // A stream goes on, and no further replica may receive it.
+};
+
+// The sends of one call.
+struct Sends
+{
+  std::set<std::string> mTried;  // Replicas that are not chosen again.
+  std::set<std::string> mCounts; // Replicas that count against Route::mAttempts.
+  uint32_t mConnectFailures = 0;
+  uint32_t mContinuations = 0; // Sends after a failure of a call that may run again.
+};
+
+}
+
+// Whether a failed call may go on: it has sent no event to the caller, or it can be continued after
+// the last one.
 static bool
-MayTryAgain(const Call& aCall, const DispatchResult& aResult)
+MayGoOn(const Call& aCall, const StreamSink* aSink)
 {
-  const bool sendsLeft = aResult.mSends < std::max(aCall.mRoute->mAttempts, 1U);
-  switch (aResult.mExchange.mStatus) {
-    case ExchangeStatus::NotRun:
-      return sendsLeft;
-    case ExchangeStatus::Failed:
-      return sendsLeft && aCall.mRoute->mKind == CallKind::Repeatable;
-    default:
-      return false;
+  if (!MayRunAgain(*aCall.mRoute)) {
+    return false;
   }
+  const StreamProgress progress = aSink != nullptr ? aSink->Progress() : StreamProgress{};
+  return !progress.mHasEvents || progress.mResume;
+}
+
+static NextStep
+StepAfter(const Call& aCall,
+          const ExchangeResult& aResult,
+          const std::string& aReplica,
+          const StreamSink* aSink,
+          Sends& aSends)
+{
+  const bool sendsLeft = aSends.mCounts.size() < std::max(aCall.mRoute->mAttempts, 1U);
+  if (aResult.mStatus == ExchangeStatus::NotRun && !aResult.mSent) {
+    // A replica that does not accept connections has ended or is cut off, also if it had received
+    // the call before: another one may take its place.
+    aSends.mCounts.erase(aReplica);
+    ++aSends.mConnectFailures;
+    return aSends.mConnectFailures < kMaxConnectFailures ? NextStep::AnotherReplica
+                                                         : NextStep::Stop;
+  }
+  if (aResult.mStatus == ExchangeStatus::NotRun) {
+    return sendsLeft ? NextStep::AnotherReplica : NextStep::Stop;
+  }
+  const bool goesOn = aResult.mStatus == ExchangeStatus::Failed && MayGoOn(aCall, aSink) &&
+                      aSends.mContinuations++ < kMaxContinuations;
+  if (!goesOn) {
+    return NextStep::Stop;
+  }
+  if (sendsLeft) {
+    return NextStep::AnotherReplica;
+  }
+  return aSink != nullptr ? NextStep::SameReplica : NextStep::Stop;
 }
 
 static ReplicaTrace
@@ -120,35 +173,33 @@
   DispatchResult result;
   result.mExchange.mStatus = ExchangeStatus::NotRun;
   result.mExchange.mDetail = "no usable replica";
-  std::set<std::string> tried;
-  uint32_t connectFailures = 0;
-  while (MayTryAgain(aCall, result) && connectFailures < kMaxConnectFailures &&
-         base::Clock::now() < aCall.mDeadline) {
-    ChosenReplica chosen = Choose(aContext, aCall, aHint, tried);
-    if (!chosen.mState) {
-      break;
-    }
+  Sends sends;
+  ChosenReplica chosen = Choose(aContext, aCall, aHint, sends.mTried);
+  while (chosen.mState && base::Clock::now() < aCall.mDeadline) {
     const Replica replica = chosen.mState->mReplica;
     const uint32_t failures = chosen.mState->mRecentFailures;
+    const auto resume = aSink != nullptr ? aSink->Progress().mResume : std::nullopt;
     result.mReplica = replica.mId;
     aCall.mTrace.mLastReplica = TraceOf(chosen, aHint);
-    tried.insert(replica.mId);
+    sends.mTried.insert(replica.mId);
     result.mExchange = co_await RunExchange(aContext,
                                             aLink,
-                                            std::move(chosen.mState),
-                                            RequestFor(aContext, aCall, aBody, replica),
+                                            chosen.mState,
+                                            RequestFor(aContext, aCall, aBody, replica, resume),
                                             aCall.mHead.mAttempt,
                                             aCall.mDeadline,
                                             aSink);
     aCall.mTrace.mLastReplica->mReported = result.mExchange.mLoad;
-    result.mSends += result.mExchange.mSent ? 1 : 0;
-    connectFailures += result.mExchange.mSent ? 0 : 1;
+    if (result.mExchange.mSent) {
+      ++result.mSends;
+      sends.mCounts.insert(replica.mId);
+    }
     result.mMayHaveRun = result.mMayHaveRun || result.mExchange.mStatus == ExchangeStatus::Failed;
     aContext.mMetrics.NoteReplicaTry(StatusName(result.mExchange.mStatus));
-    if (!result.mExchange.mDetail.empty()) {
+    if (!result.mExchange.mDetail.empty() || resume) {
       base::Log(base::LogEvent::ReplicaTry,
-                "attempt={} replica={} domain={} load={:.1f}/{} failures={} sends={} outcome={} "
-                "detail=\"{}\"",
+                "attempt={} replica={} domain={} load={:.1f}/{} failures={} sends={} "
+                "resumed_after={} outcome={} detail=\"{}\"",
                 aCall.mHead.mAttempt,
                 replica.mId,
                 replica.mDomain,
@@ -156,9 +207,17 @@
                 replica.mSlots,
                 failures,
                 result.mSends,
+                resume ? std::to_string(resume->mLastEvent) : "-",
                 StatusName(result.mExchange.mStatus),
                 result.mExchange.mDetail);
     }
+    const NextStep next = StepAfter(aCall, result.mExchange, replica.mId, aSink, sends);
+    if (next == NextStep::Stop) {
+      break;
+    }
+    if (next == NextStep::AnotherReplica) {
+      chosen = Choose(aContext, aCall, aHint, sends.mTried);
+    }
   }
   aCall.mTrace.mReplica = Since(begin);
   co_return result;
--- a/modules/gateway/src/dispatcher.h
+++ b/modules/gateway/src/dispatcher.h
@@ -22,13 +22,15 @@
 {
   ExchangeResult mExchange;
   std::string mReplica;     // The last one that was tried.
-  uint32_t mSends = 0;      // Replicas that the call was sent to.
+  uint32_t mSends = 0;      // To replicas.
   bool mMayHaveRun = false; // At one of them, without a usable answer.
 };
 
-// Sends aCall with aBody to replicas, one after the other, until one has run it or may have run it;
-// repeatable calls are retried after failures too. At most Route::mAttempts replicas receive it.
-// Records the replica and the time taken in the trace of aCall.
+// Sends aCall with aBody to replicas, one after the other, until one has run it or may have run it.
+// Calls that may run more than once are sent again after failures too: a stream goes on after its
+// last whole event. At most Route::mAttempts replicas receive the call, without those that have
+// ended since; when no further replica may receive a stream, it goes to the same one again. Records
+// the replica and the time taken in the trace of aCall.
 boost::asio::awaitable<DispatchResult>
 Dispatch(Context& aContext,
          CallerLink& aLink,
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -32,6 +32,8 @@
 static constexpr Millis kDrainNoticePeriod{ 2500 };
 // How often the drain checks whether all sessions have ended.
 static constexpr Millis kDrainPollInterval{ 20 };
+// How long the end of the process waits until the rest of the budgets that it holds is returned.
+static constexpr Millis kSettleTimeout{ 1000 };
 // Delay after a failed accept, for example for lack of file descriptors.
 static constexpr Millis kAcceptRetryDelay{ 50 };
 static constexpr int kListenBacklog = 512;
@@ -51,6 +53,7 @@
                mStore,
                *mAdapters.mHeaderCodec,
                mMetrics,
+               mSettings.mInstance,
                mSettings.mHistoryCacheBytes)
     , mCallers(mLoop)
     , mPeers(mLoop)
@@ -168,6 +171,7 @@
   FollowConfiguration();
   FollowReplicas();
   Spawn(mContext.mPrograms.Run());
+  Spawn(mContext.mBudgets.Run());
   Spawn(mContext.mTexts.Run());
   Spawn(Cleanup());
   Spawn(AcceptPeers());
@@ -369,6 +373,7 @@
   while (SessionsOpen()) {
     co_await SleepFor(kDrainPollInterval);
   }
+  co_await mContext.mBudgets.SettleAll(base::Clock::now() + kSettleTimeout);
   mDrained = true;
 }
 
--- /dev/null
+++ b/modules/gateway/src/program_budgets.cpp
@@ -0,0 +1,276 @@
+#include "program_budgets.h"
+
+#include "elapsed.h"
+#include "sycamore/base/log.h"
+
+#include <algorithm>
+#include <cassert>
+#include <fmt/format.h>
+#include <utility>
+
+namespace sycamore::gateway {
+
+using base::ErrorKind;
+using base::Millis;
+using programs::Reservation;
+
+// A block takes this share of what is left of a budget: sub-agents and lines of turns that come in
+// through other gateways need the rest.
+static constexpr uint64_t kBlockDivisor = 2;
+// An unused block is settled after this time, well above the pauses between the turns of a program.
+static constexpr Millis kIdleTime{ 500 };
+// Turns stop to draw from a block of this age: readers forget a program two minutes after its last
+// record, and a block must not outlive that.
+static constexpr base::Seconds kMaxBlockAge{ 30 };
+static constexpr Millis kSweepInterval{ 100 };
+// A refused reservation is repeated after this time if other reservations are outstanding, which
+// may be settled for less than they reserved. Covers the idle time of a block and its settlement.
+static constexpr Millis kSettlementWait{ 1300 };
+// A settlement that cannot be appended for this long is given up; the block then counts as spent
+// until the program expires.
+static constexpr base::Seconds kSettlementTimeout{ 20 };
+
+void
+ProgramBudgets::Draw::Settle(uint64_t aTokens)
+{
+  if (!mBlock) {
+    return;
+  }
+  assert(mBlock->mTurns > 0 && mBlock->mDrawn >= mMaxTokens);
+  --mBlock->mTurns;
+  mBlock->mDrawn -= mMaxTokens;
+  // A replica that generates more than it was asked for takes the rest of the block.
+  mBlock->mSent += std::min(aTokens, mBlock->mTokens - mBlock->mDrawn - mBlock->mSent);
+  mBlock->mLastUsed = base::Clock::now();
+  mBlock.reset();
+}
+
+ProgramBudgets::ProgramBudgets(const boost::asio::any_io_executor& aExecutor,
+                               ProgramLog& aLog,
+                               std::string aInstance)
+  : mExecutor(aExecutor)
+  , mLog(aLog)
+  , mInstance(std::move(aInstance))
+{
+}
+
+std::optional<ProgramBudgets::Draw>
+ProgramBudgets::TryDraw(Program& aProgram, uint64_t aTokens)
+{
+  if (aProgram.mBlocks.empty()) {
+    return std::nullopt;
+  }
+  const std::shared_ptr<Block>& block = aProgram.mBlocks.back();
+  const base::TimePoint now = base::Clock::now();
+  if (block->Available() < aTokens || now - block->mGrantedAt > kMaxBlockAge) {
+    return std::nullopt;
+  }
+  block->mDrawn += aTokens;
+  ++block->mTurns;
+  block->mLastUsed = now;
+  return Draw(block, aTokens);
+}
+
+bool
+ProgramBudgets::HasBlock(const BudgetRequest& aRequest) const
+{
+  const auto program = mPrograms.find(aRequest.mProgram);
+  return program != mPrograms.end() && !program->second->mBlocks.empty() &&
+         program->second->mBlocks.back()->Available() >= aRequest.mMaxTokens;
+}
+
+boost::asio::awaitable<ProgramBudgets::Outcome>
+ProgramBudgets::Acquire(BudgetRequest aRequest, base::TimePoint aDeadline)
+{
+  std::shared_ptr<Program>& entry = mPrograms[aRequest.mProgram];
+  if (!entry) {
+    entry = std::make_shared<Program>(mExecutor);
+  }
+  const std::shared_ptr<Program> program = entry;
+  for (;;) {
+    if (auto draw = TryDraw(*program, aRequest.mMaxTokens)) {
+      co_return std::move(*draw);
+    }
+    if (base::Clock::now() >= aDeadline) {
+      co_return base::Error{ ErrorKind::LogUnavailable,
+                             "the budget was not reserved before the deadline",
+                             "" };
+    }
+    if (program->mReserving) {
+      co_await program->mChanged.WaitUntil(aDeadline);
+      continue;
+    }
+    program->mReserving = true;
+    bool refused = false;
+    auto error = co_await Reserve(aRequest, *program, aDeadline, refused);
+    program->mReserving = false;
+    program->mChanged.NotifyAll();
+    if (error) {
+      co_return std::move(*error);
+    }
+    if (refused) {
+      co_return Refused{};
+    }
+  }
+}
+
+uint64_t
+ProgramBudgets::BlockSize(const BudgetRequest& aRequest, uint64_t aReturnedTokens) const
+{
+  const uint64_t reserved = mLog.Programs().UsedTokens(aRequest.mProgram);
+  const uint64_t used = reserved - std::min(reserved, aReturnedTokens);
+  const uint64_t left = aRequest.mBudgetTokens - std::min(used, aRequest.mBudgetTokens);
+  return std::max(aRequest.mMaxTokens, left / kBlockDivisor);
+}
+
+boost::asio::awaitable<std::optional<base::Error>>
+ProgramBudgets::Reserve(BudgetRequest aRequest,
+                        Program& aProgram,
+                        base::TimePoint aDeadline,
+                        bool& aOutRefused)
+{
+  const base::TimePoint begin = base::Clock::now();
+  const base::TimePoint settled =
+    begin + std::min(kSettlementWait, std::chrono::duration_cast<Millis>(aDeadline - begin) / 2);
+  // What no turn uses any more is returned with the same append, before the new reservation.
+  uint64_t returned = SettleUnused(aProgram);
+  for (;;) {
+    const uint64_t tokens = BlockSize(aRequest, std::exchange(returned, 0));
+    std::shared_ptr<Block> block;
+    if (auto error = co_await ReserveTokens(aRequest, tokens, aDeadline, block)) {
+      co_return error;
+    }
+    if (block) {
+      aProgram.mBlocks.push_back(std::move(block));
+      co_return std::nullopt;
+    }
+    if (tokens > aRequest.mMaxTokens && BlockSize(aRequest, 0) < tokens) {
+      continue; // The view of the budget was old; it is current now.
+    }
+    const uint64_t spent = mLog.Programs().SpentTokens(aRequest.mProgram);
+    const bool certain = spent + aRequest.mMaxTokens > aRequest.mBudgetTokens;
+    if (certain || base::Clock::now() >= settled) {
+      aOutRefused = true;
+      co_return std::nullopt;
+    }
+    while (
+      base::Clock::now() < settled &&
+      !mLog.Programs().FitsBudget(aRequest.mProgram, aRequest.mBudgetTokens, aRequest.mMaxTokens)) {
+      co_await mLog.WaitApplied(mLog.NextOffset(), settled);
+    }
+  }
+}
+
+boost::asio::awaitable<std::optional<base::Error>>
+ProgramBudgets::ReserveTokens(const BudgetRequest& aRequest,
+                              uint64_t aTokens,
+                              base::TimePoint aDeadline,
+                              std::shared_ptr<Block>& aOut)
+{
+  auto block = std::make_shared<Block>();
+  block->mId = fmt::format("{}@{}.{}", aRequest.mAttempt, mInstance, mNextBlock++);
+  block->mProgram = aRequest.mProgram;
+  block->mTokens = aTokens;
+  const programs::AttemptReserved event{
+    block->mId, block->mProgram, aRequest.mBudgetTokens, aTokens
+  };
+  const auto appended = co_await mLog.Append(event, aDeadline);
+  std::optional<base::Error> error;
+  if (!base::IsOk(appended)) {
+    error = { ErrorKind::LogUnavailable, base::ErrorOf(appended).mMessage, "" };
+  } else if (!co_await mLog.WaitApplied(base::ValueOf(appended), aDeadline)) {
+    error = { ErrorKind::LogUnavailable,
+              "the reservation was not applied before the deadline",
+              "" };
+  }
+  if (error) {
+    // The record may be applied later, and nobody would use its tokens.
+    SettleBlock(*block);
+    co_return error;
+  }
+  if (mLog.Programs().ReservationOf(block->mProgram, block->mId) == Reservation::Granted) {
+    block->mGrantedAt = base::Clock::now();
+    block->mLastUsed = block->mGrantedAt;
+    aOut = std::move(block);
+  }
+  co_return std::nullopt;
+}
+
+void
+ProgramBudgets::SettleBlock(const Block& aBlock)
+{
+  mLog.AppendDeferred(programs::AttemptEnded{ aBlock.mId, aBlock.mProgram, aBlock.mSent },
+                      base::Clock::now() + kSettlementTimeout);
+}
+
+uint64_t
+ProgramBudgets::SettleUnused(Program& aProgram)
+{
+  uint64_t returned = 0;
+  std::erase_if(aProgram.mBlocks, [&](const std::shared_ptr<Block>& aBlock) {
+    if (aBlock->mTurns > 0) {
+      return false;
+    }
+    SettleBlock(*aBlock);
+    returned += aBlock->Available();
+    return true;
+  });
+  return returned;
+}
+
+void
+ProgramBudgets::SettleIdle()
+{
+  const base::TimePoint now = base::Clock::now();
+  for (const auto& [name, program] : mPrograms) {
+    const bool idle =
+      std::all_of(program->mBlocks.begin(), program->mBlocks.end(), [now](const auto& aBlock) {
+        return now - aBlock->mLastUsed > kIdleTime;
+      });
+    if (idle) {
+      SettleUnused(*program);
+    }
+  }
+  std::erase_if(mPrograms, [](const auto& aEntry) {
+    return aEntry.second->mBlocks.empty() && aEntry.second.use_count() == 1;
+  });
+}
+
+boost::asio::awaitable<void>
+ProgramBudgets::Run()
+{
+  for (;;) {
+    co_await SleepFor(kSweepInterval);
+    SettleIdle();
+  }
+}
+
+boost::asio::awaitable<void>
+ProgramBudgets::SettleAll(base::TimePoint aDeadline)
+{
+  TaskGroup appends(mExecutor);
+  const auto append = [](ProgramLog& aLog,
+                         programs::AttemptEnded aEvent,
+                         base::TimePoint aLimit) -> boost::asio::awaitable<void> {
+    const std::string block = aEvent.mAttempt;
+    const auto appended = co_await aLog.Append(std::move(aEvent), aLimit);
+    if (!base::IsOk(appended)) {
+      base::Log(base::LogEvent::LogAppendFailed,
+                "block={} counts as spent until the program expires: {}",
+                block,
+                base::ErrorOf(appended).mMessage);
+    }
+  };
+  for (const auto& [name, program] : mPrograms) {
+    std::erase_if(program->mBlocks, [&](const std::shared_ptr<Block>& aBlock) {
+      if (aBlock->mTurns > 0) {
+        return false;
+      }
+      appends.Spawn(append(mLog, { aBlock->mId, aBlock->mProgram, aBlock->mSent }, aDeadline));
+      return true;
+    });
+  }
+  co_await appends.Wait();
+}
+
+}
--- a/modules/gateway/src/record_writer.cpp
+++ b/modules/gateway/src/record_writer.cpp
@@ -98,7 +98,8 @@
   const base::TimePoint now = base::Clock::now();
   std::vector<PendingPtr> batch;
   size_t bytes = 0;
-  for (std::deque<PendingPtr>* queue : { &mQueue, &mDeferred }) {
+  // Deferred records come first: they were written before.
+  for (std::deque<PendingPtr>* queue : { &mDeferred, &mQueue }) {
     while (!queue->empty() && (batch.empty() || bytes < kMaxBatchBytes)) {
       PendingPtr pending = std::move(queue->front());
       queue->pop_front();
--- a/modules/gateway/src/replica_connection.h
+++ b/modules/gateway/src/replica_connection.h
@@ -23,6 +23,7 @@
 
   boost::beast::tcp_stream mStream;
   boost::beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
+  bool mUsedBefore = false;     // By a call that has ended.
   base::TimePoint mUsableUntil; // While idle: the replica may close the connection after this time.
 };
 
--- a/modules/gateway/src/replica_exchange.cpp
+++ b/modules/gateway/src/replica_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "async.h"
 #include "elapsed.h"
+#include "sycamore/base/log.h"
 
 #include <algorithm>
 #include <array>
@@ -89,6 +90,7 @@
 private:
   boost::asio::awaitable<bool> Connect();
   boost::asio::awaitable<bool> ReadHeader();
+  bool IsOwnAnswer(int aSkippedAnswers) const;
   boost::asio::awaitable<bool> SkipBody();
   boost::asio::awaitable<ExchangeResult> ReadAnswer();
   boost::asio::awaitable<ExchangeResult> ReadWhole();
@@ -98,6 +100,7 @@
   ExchangeResult Interrupted(boost::system::error_code aError, std::string_view aStage) const;
   ExchangeResult Failed(std::string aDetail) const;
   void NoteLoad();
+  void NoteLeaving();
   void ReleaseConnection();
   http::response_header<> ForwardedHeader() const;
 
@@ -179,9 +182,14 @@
     }
     const bool isInterim =
       http::to_status_class(mParser->get().result()) == http::status_class::informational;
-    if (!isInterim && (mHead.mAttempt.empty() || mHead.mAttempt == mAttempt)) {
+    if (!isInterim && IsOwnAnswer(skippedAnswers)) {
       co_return co_await ReadAnswer();
     }
+    if (!isInterim && mHead.mAttempt.empty()) {
+      // It may be a late copy of an earlier answer, or the answer to this call: even if it says
+      // that the call has not run, that is not certain.
+      co_return Failed("an answer without attempt id on a connection that was used before");
+    }
     if (!co_await SkipBody()) {
       co_return Interrupted(mError, "answer to another attempt");
     }
@@ -189,6 +197,16 @@
   co_return Failed("only interim answers or answers to other attempts arrived");
 }
 
+// An answer without attempt id belongs to this call only if there was no other on the connection.
+bool
+Exchange::IsOwnAnswer(int aSkippedAnswers) const
+{
+  if (!mHead.mAttempt.empty()) {
+    return mHead.mAttempt == mAttempt;
+  }
+  return !mConnection->mUsedBefore && aSkippedAnswers == 0;
+}
+
 boost::asio::awaitable<bool>
 Exchange::ReadHeader()
 {
@@ -202,9 +220,24 @@
   }
   mHead = mContext.mHeaderCodec.DecodeAnswer(mParser->get());
   NoteLoad();
+  NoteLeaving();
   co_return true;
 }
 
+void
+Exchange::NoteLeaving()
+{
+  // The answer to a call that expected another replica comes from a new owner of the address.
+  const bool sameReplica = mParser->get().result() != http::status::misdirected_request;
+  if (mHead.mLeaving && sameReplica &&
+      mContext.mReplicas.NoteLeaving(mState->mReplica, base::Clock::now())) {
+    base::Log(base::LogEvent::InstanceLeaving,
+              "replica={} attempt={} said so in its answer",
+              mState->mReplica.mId,
+              mAttempt);
+  }
+}
+
 void
 Exchange::NoteLoad()
 {
@@ -325,7 +358,7 @@
 {
   const ExchangeResult cancelled{ ExchangeStatus::CallerGone, true, {}, "cancelled" };
   http::response_header<> header = ForwardedHeader();
-  const bool begun = co_await mSink->OnHeader(std::move(header));
+  const bool begun = co_await mSink->OnHeader(std::move(header), mHead);
   if (!begun) {
     co_return cancelled;
   }
@@ -343,6 +376,9 @@
   if (mError) {
     co_return Interrupted(mError, "body");
   }
+  if (!mSink->EndsWhole()) {
+    co_return Failed("the stream ended inside an event");
+  }
   NoteSuccess(*mState);
   ReleaseConnection();
   co_return ExchangeResult{ ExchangeStatus::Streamed, true, {}, "" };
--- a/modules/gateway/src/replica_exchange.h
+++ b/modules/gateway/src/replica_exchange.h
@@ -42,14 +42,29 @@
   Unusable, // The bytes are not a valid answer: the replica has failed.
 };
 
-// Receives an answer in pieces.
+// How far an answer has come.
+struct StreamProgress
+{
+  bool mHasEvents = false;            // The caller may have received some.
+  std::optional<ResumePoint> mResume; // Where another answer can continue, if it can.
+};
+
+// Receives an answer in pieces. The answer may start again, see Progress.
 class StreamSink
 {
 public:
   virtual ~StreamSink() = default;
-  // Returns false to cancel the call.
-  virtual boost::asio::awaitable<bool> OnHeader(boost::beast::http::response_header<> aHeader) = 0;
+
+  // Starts the answer, or continues a broken one after its last whole event. Returns false to
+  // cancel the call.
+  virtual boost::asio::awaitable<bool> OnHeader(boost::beast::http::response_header<> aHeader,
+                                                const AnswerHead& aHead) = 0;
   virtual boost::asio::awaitable<SinkResult> OnBytes(std::string_view aBytes) = 0;
+
+  // Whether the answer ended where it may: not inside an event.
+  virtual bool EndsWhole() const = 0;
+
+  virtual StreamProgress Progress() const = 0;
 };
 
 // Sends aRequest to the replica of aState and reads its answer until aDeadline. A successful answer
--- a/modules/gateway/src/replica_list.cpp
+++ b/modules/gateway/src/replica_list.cpp
@@ -8,6 +8,9 @@
 static constexpr base::Millis kExpiryGrace{ 2200 };
 // A removal within this time after a store failure may be an expiry caused by an outage.
 static constexpr base::Millis kOutageWindow{ 3000 };
+// A replica that leaves exits some seconds after it said so, many seconds at most; later its mark
+// only takes memory.
+static constexpr base::Seconds kLeavingMarkRetention{ 600 };
 
 void
 ReplicaList::Update(const std::string& aId, std::optional<Replica> aReplica, base::TimePoint aNow)
@@ -19,6 +22,27 @@
   mEntries[aId] = { std::move(*aReplica), std::nullopt };
 }
 
+bool
+ReplicaList::NoteLeaving(const Replica& aReplica, base::TimePoint aNow)
+{
+  if (SaidThatItLeaves(aReplica)) {
+    return false;
+  }
+  std::erase_if(mLeaving, [aNow](const auto& aMark) {
+    return aNow - aMark.second.mNotedAt > kLeavingMarkRetention;
+  });
+  mLeaving[aReplica.mId] = { aReplica.mEndpoint, aReplica.mStartedUnixMs, aNow };
+  return true;
+}
+
+bool
+ReplicaList::SaidThatItLeaves(const Replica& aReplica) const
+{
+  const auto mark = mLeaving.find(aReplica.mId);
+  return mark != mLeaving.end() && mark->second.mEndpoint == aReplica.mEndpoint &&
+         mark->second.mStartedUnixMs == aReplica.mStartedUnixMs;
+}
+
 void
 ReplicaList::Remove(const std::string& aId, base::TimePoint aNow)
 {
@@ -57,7 +81,8 @@
   std::vector<const Replica*> usable;
   for (const auto& [id, entry] : mEntries) {
     const bool expired = entry.mUsableUntil && aNow >= *entry.mUsableUntil;
-    if (entry.mReplica.mService == aService && !entry.mReplica.mLeaving && !expired) {
+    const bool leaving = entry.mReplica.mLeaving || SaidThatItLeaves(entry.mReplica);
+    if (entry.mReplica.mService == aService && !leaving && !expired) {
       usable.push_back(&entry.mReplica);
     }
   }
--- a/modules/gateway/src/replica_pool.cpp
+++ b/modules/gateway/src/replica_pool.cpp
@@ -87,6 +87,7 @@
   }
   aConnection->mUsableUntil = base::Clock::now() + idle;
   aConnection->mStream.expires_never();
+  aConnection->mUsedBefore = true;
   aState.mIdle.push_back(std::move(aConnection));
 }
 
--- a/modules/gateway/src/route_table.cpp
+++ b/modules/gateway/src/route_table.cpp
@@ -7,6 +7,13 @@
 
 namespace sycamore::gateway {
 
+bool
+MayRunAgain(const Route& aRoute)
+{
+  return aRoute.mKind == CallKind::Repeatable ||
+         (aRoute.mKind == CallKind::Stream && aRoute.mResumable);
+}
+
 const Route*
 FindRoute(const RouteTable& aTable, std::string_view aHost, std::string_view aPath)
 {
--- a/modules/gateway/src/turn_output.cpp
+++ b/modules/gateway/src/turn_output.cpp
@@ -1,5 +1,7 @@
 #include "turn_output.h"
 
+#include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace sycamore::gateway {
@@ -15,24 +17,85 @@
   return std::max(afterLf, afterCrlf);
 }
 
+static std::optional<uint64_t>
+ToNumber(std::string_view aText)
+{
+  uint64_t number = 0;
+  const auto [end, error] = std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  const bool valid = error == std::errc() && end == aText.data() + aText.size();
+  return valid ? std::optional<uint64_t>(number) : std::nullopt;
+}
+
+TurnOutput::TurnOutput(const HeaderCodec& aHeaderCodec, Keep aKeep)
+  : mHeaderCodec(aHeaderCodec)
+  , mKeep(aKeep)
+{
+}
+
 std::string
 TurnOutput::Add(std::string_view aBytes)
 {
   mRest += aBytes;
   std::string whole = mRest.substr(0, EndOfLastEvent(mRest));
   mRest.erase(0, whole.size());
-  mParser.Feed(whole, [this](const client::ServerEvent& aEvent) {
-    ++mEventCount;
+  NoteVersions(whole);
+  mParser.Feed(whole, [this](const client::ServerEvent& aEvent) { NoteEvent(aEvent); });
+  return whole;
+}
+
+void
+TurnOutput::BeginPart(std::optional<uint64_t> aVersion)
+{
+  ++mParts;
+  mRest.clear();
+  mVersion = aVersion ? aVersion : mVersion;
+}
+
+void
+TurnOutput::NoteEvent(const client::ServerEvent& aEvent)
+{
+  ++mEventCount;
+  if (mKeep == Keep::History) {
     mHistory += aEvent.mData;
     mHistory += '\n';
-  });
-  return whole;
+  }
+  const std::optional<uint64_t> last = std::exchange(mLastId, ToNumber(aEvent.mId));
+  if (!last) {
+    return;
+  }
+  if (mParts <= 1) {
+    mIdStep = mLastId && *mLastId > *last ? std::optional(*mLastId - *last) : std::nullopt;
+    return;
+  }
+  const bool grows = mLastId && *mLastId > *last;
+  mInSequence = mInSequence && grows && (!mIdStep || *mLastId - *last == *mIdStep);
 }
 
-std::string
-TurnOutput::TakeRest()
+// An event at which the weights change carries the new version as its first line.
+void
+TurnOutput::NoteVersions(std::string_view aEvents)
+{
+  bool first = true;
+  while (!aEvents.empty()) {
+    const size_t end = aEvents.find('\n');
+    std::string_view line = aEvents.substr(0, end);
+    aEvents.remove_prefix(end == std::string_view::npos ? aEvents.size() : end + 1);
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    if (first) {
+      if (const auto version = mHeaderCodec.DecodeWeightVersion(line)) {
+        mVersion = version;
+      }
+    }
+    first = line.empty();
+  }
+}
+
+std::optional<ResumePoint>
+TurnOutput::Resume() const
 {
-  return std::exchange(mRest, {});
+  return mLastId && mInSequence ? std::optional(ResumePoint{ *mLastId, mVersion }) : std::nullopt;
 }
 
 }
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -13,11 +13,13 @@
 namespace http = boost::beast::http;
 using base::ErrorKind;
 using base::Millis;
-using programs::Reservation;
 
 // Time that a call waits for the log before it is refused; leaves the caller time to try another
 // process.
 static constexpr Millis kLogTimeout{ 900 };
+// Time that a call waits for its budget. Longer than kLogTimeout: a budget that other turns hold
+// may be settled within that time.
+static constexpr Millis kReservationTimeout{ 1600 };
 // Retry-After time while the store is down for all instances: outages last for seconds, and a
 // caller has few attempts. While only this process is cut off, another one can serve the call at
 // once.
@@ -39,27 +41,36 @@
   : mContext(aContext)
   , mLink(aLink)
   , mCall(aCall)
+  , mOutput(aContext.mHeaderCodec,
+            aCall.mRoute->mKeepsHistory ? TurnOutput::Keep::History : TurnOutput::Keep::Nothing)
 {
 }
 
 boost::asio::awaitable<CallOutcome>
 TurnRunner::Run()
 {
-  if (IsTooLong()) {
-    base::Error error{ ErrorKind::BodyTooLarge,
-                       "the input of the turn does not fit into a record",
-                       "" };
-    co_return co_await Refuse(std::move(error));
-  }
-  if (auto error = co_await FindChain()) {
+  if (auto error = CheckResume()) {
     co_return co_await Refuse(std::move(*error));
   }
+  if (KeepsHistory()) {
+    if (IsTooLong()) {
+      base::Error error{ ErrorKind::BodyTooLarge,
+                         "the input of the turn does not fit into a record",
+                         "" };
+      co_return co_await Refuse(std::move(error));
+    }
+    if (auto error = co_await FindChain()) {
+      co_return co_await Refuse(std::move(*error));
+    }
+  }
   // The reservation is appended while the texts are read: in a remote region each takes 70 ms.
   if (HasBudget()) {
-    StartReservation();
+    if (auto error = StartReservation()) {
+      co_return co_await Refuse(std::move(*error));
+    }
   }
   if (auto error = co_await MakePrompt()) {
-    ReleaseReservation(0);
+    SettleBudget();
     co_return co_await Refuse(std::move(*error));
   }
   mCall.mTrace.mHistory = Since(mCall.mArrived);
@@ -72,17 +83,49 @@
   hint.mPrefixReplica = mPrefixReplica;
   hint.mPromptTokens = mCall.mHead.mPromptTokens;
   auto result = co_await Dispatch(mContext, mLink, mCall, std::move(mPrompt), hint, this);
-  co_return co_await Finish(std::move(result));
+  CallOutcome outcome = co_await Finish(std::move(result));
+  SettleBudget();
+  co_return outcome;
 }
 
-boost::asio::awaitable<std::optional<base::Error>>
-TurnRunner::FindChain()
+std::optional<base::Error>
+TurnRunner::CheckResume() const
+{
+  if (!mCall.mHead.mResumes) {
+    return std::nullopt;
+  }
+  if (!mCall.mRoute->mResumable) {
+    return base::Error{ ErrorKind::MalformedBody, "streams of this route cannot be resumed", "" };
+  }
+  if (!mCall.mHead.mLastEvent) {
+    return base::Error{ ErrorKind::MalformedBody, "the id of the last event is not a number", "" };
+  }
+  if (KeepsHistory()) {
+    // The events before that id are in no record, so that a later turn could not continue this one.
+    return base::Error{ ErrorKind::LogUnavailable,
+                        "the first events of the turn are not kept: it must start again",
+                        "" };
+  }
+  return std::nullopt;
+}
+
+std::optional<base::Error>
+TurnRunner::CheckLog() const
 {
   if (!mContext.mPrograms.Loaded()) {
-    co_return base::Error{ ErrorKind::LogUnavailable, "the history is being loaded", "" };
+    return base::Error{ ErrorKind::LogUnavailable, "the history is being loaded", "" };
   }
   if (!mContext.mStore.Reachable()) {
-    co_return base::Error{ ErrorKind::LogUnavailable, "the store cannot be reached", "" };
+    return base::Error{ ErrorKind::LogUnavailable, "the store cannot be reached", "" };
+  }
+  return std::nullopt;
+}
+
+boost::asio::awaitable<std::optional<base::Error>>
+TurnRunner::FindChain()
+{
+  if (auto error = CheckLog()) {
+    co_return error;
   }
   if (!mCall.mHead.mPreviousTurn) {
     co_return std::nullopt;
@@ -108,6 +151,10 @@
 boost::asio::awaitable<std::optional<base::Error>>
 TurnRunner::MakePrompt()
 {
+  if (!KeepsHistory()) {
+    mPrompt = mCall.mRequest.body();
+    co_return std::nullopt;
+  }
   const auto limit = std::min(mCall.mDeadline, base::Clock::now() + kLogTimeout);
   auto texts = co_await mContext.mTexts.Load(std::move(mHistory), limit);
   if (!base::IsOk(texts)) {
@@ -144,50 +191,55 @@
     co_return std::nullopt;
   }
   if (mReservation->mError) {
-    ReleaseReservation(0);
     co_return std::move(mReservation->mError);
   }
   co_return base::Error{ ErrorKind::BudgetExceeded, "the program's budget is spent", "" };
 }
 
-void
+std::optional<base::Error>
 TurnRunner::StartReservation()
 {
   const CallHead& head = mCall.mHead;
+  const BudgetRequest request{
+    head.mAttempt, head.mProgram, *head.mBudgetTokens, head.mMaxOutputTokens
+  };
+  if (head.mProgram.empty()) {
+    return base::Error{ ErrorKind::MalformedBody, "a budget needs the id of its program", "" };
+  }
+  if (!mContext.mBudgets.HasBlock(request)) {
+    if (auto error = CheckLog()) {
+      return error;
+    }
+  }
   mHasHeadroom = mContext.mPrograms.Programs().FitsBudget(
     head.mProgram, *head.mBudgetTokens, head.mMaxOutputTokens * kHeadroomTurns);
   mReservation = std::make_shared<ReservationState>(mContext.mExecutor);
-  const auto limit = std::min(mCall.mDeadline, base::Clock::now() + kLogTimeout);
+  const auto limit = std::min(mCall.mDeadline, base::Clock::now() + kReservationTimeout);
   boost::asio::co_spawn(
-    mContext.mExecutor,
-    Reserve(mContext,
-            { head.mAttempt, head.mProgram, *head.mBudgetTokens, head.mMaxOutputTokens },
-            limit,
-            mReservation),
-    LogFailure{});
+    mContext.mExecutor, Reserve(mContext, request, limit, mReservation), LogFailure{});
+  return std::nullopt;
 }
 
 boost::asio::awaitable<void>
 TurnRunner::Reserve(Context& aContext,
-                    programs::AttemptReserved aEvent,
+                    BudgetRequest aRequest,
                     base::TimePoint aDeadline,
                     std::shared_ptr<ReservationState> aState)
 {
-  ProgramLog& log = aContext.mPrograms;
   const base::TimePoint begin = base::Clock::now();
-  const auto appended = co_await log.Append(aEvent, aDeadline);
-  if (!base::IsOk(appended)) {
-    aState->mError = { ErrorKind::LogUnavailable, base::ErrorOf(appended).mMessage, "" };
-  } else if (!co_await log.WaitApplied(base::ValueOf(appended), aDeadline)) {
-    aState->mError = { ErrorKind::LogUnavailable,
-                       "the reservation was not applied before the deadline",
-                       "" };
+  auto outcome = co_await aContext.mBudgets.Acquire(std::move(aRequest), aDeadline);
+  if (auto* error = std::get_if<base::Error>(&outcome)) {
+    aState->mError = std::move(*error);
   } else {
-    const auto state = log.Programs().ReservationOf(aEvent.mProgram, aEvent.mAttempt);
-    aState->mGranted = state == Reservation::Granted;
     aState->mTook = Since(begin);
     aContext.mMetrics.NoteReservation(*aState->mTook);
   }
+  if (auto* draw = std::get_if<ProgramBudgets::Draw>(&outcome)) {
+    aState->mDraw = std::move(*draw);
+    if (aState->mAbandoned) {
+      aState->mDraw->Settle(0); // No event is sent before the reservation is granted.
+    }
+  }
   aState->mDone = true;
   aState->mChanged.NotifyAll();
 }
@@ -202,13 +254,29 @@
     co_await mReservation->mChanged.WaitUntil(base::TimePoint::max());
   }
   mCall.mTrace.mReservation = mReservation->mTook;
-  co_return mReservation->mGranted;
+  co_return mReservation->mDraw.has_value();
+}
+
+void
+TurnRunner::SettleBudget()
+{
+  if (!mReservation) {
+    return;
+  }
+  if (mReservation->mDraw) {
+    mReservation->mDraw->Settle(TokensSent());
+  }
+  mReservation->mAbandoned = true;
 }
 
 boost::asio::awaitable<bool>
-TurnRunner::OnHeader(http::response_header<> aHeader)
+TurnRunner::OnHeader(http::response_header<> aHeader, const AnswerHead& aHead)
 {
-  mHeader = std::move(aHeader);
+  mOutput.BeginPart(aHead.mWeightVersion);
+  if (!mHeaderSent) {
+    // The caller sees the header and signature of the first replica whose events it receives.
+    mHeader = std::move(aHeader);
+  }
   co_return !mLink.Gone();
 }
 
@@ -216,10 +284,10 @@
 TurnRunner::OnBytes(std::string_view aBytes)
 {
   const std::string events = mOutput.Add(aBytes);
-  if (mOutput.Bytes() > kMaxTurnBytes) {
+  if (mOutput.Bytes() > kMaxTurnBytes || !mOutput.InSequence()) {
     co_return SinkResult::Unusable;
   }
-  if (IsTooLong()) {
+  if (KeepsHistory() && IsTooLong()) {
     co_return SinkResult::Cancel;
   }
   if (events.empty()) {
@@ -233,6 +301,12 @@
   co_return sent ? SinkResult::Continue : SinkResult::Cancel;
 }
 
+StreamProgress
+TurnRunner::Progress() const
+{
+  return { mOutput.EventCount() > 0, mOutput.Resume() };
+}
+
 bool
 TurnRunner::IsTooLong() const
 {
@@ -265,7 +339,10 @@
     case ExchangeStatus::Streamed:
       co_return co_await Complete(aResult.mReplica);
     case ExchangeStatus::Whole: {
-      ReleaseReservation(0);
+      if (mHeaderSent) {
+        // Another replica answered the rest of a stream with an error.
+        co_return CallOutcome{ CallEnd::BrokenOff, "broken off: the rest was refused", {} };
+      }
       const auto status = aResult.mExchange.mAnswer.result_int();
       co_await mLink.SendWhole(std::move(aResult.mExchange.mAnswer));
       co_return CallOutcome{ CallEnd::Answered,
@@ -275,8 +352,7 @@
     default:
       break;
   }
-  ReleaseReservation(TokensSent());
-  if (IsTooLong()) {
+  if (KeepsHistory() && IsTooLong()) {
     aResult.mExchange.mDetail = "input and output of the turn do not fit into a record";
   }
   if (mLink.Gone()) {
@@ -293,29 +369,23 @@
 TurnRunner::Complete(const std::string& aReplica)
 {
   const bool granted = co_await ReservationGranted();
+  if (!granted && !mHeaderSent) {
+    const base::Error error{ ErrorKind::OutcomeUnknown, "the budget could not be reserved", "" };
+    co_return co_await SendRefusal(mLink, mCall, error);
+  }
   bool open = granted && !mLink.Gone();
   if (open) {
     open = co_await SendHeader();
   }
-  if (open) {
-    const std::string rest = mOutput.TakeRest();
-    open = co_await mLink.SendPiece(rest);
-  }
   if (!open) {
-    ReleaseReservation(TokensSent());
-    if (!granted && !mHeaderSent) {
-      const base::Error error{ ErrorKind::OutcomeUnknown, "the budget could not be reserved", "" };
-      co_return co_await SendRefusal(mLink, mCall, error);
-    }
     co_return CallOutcome{ CallEnd::CallerGone, "caller gone", {} };
   }
-  if (!co_await Commit(aReplica)) {
-    ReleaseReservation(TokensSent());
+  if (KeepsHistory() && !co_await Commit(aReplica)) {
     co_return CallOutcome{ CallEnd::BrokenOff, "not recorded in time; broken off", {} };
   }
   const bool ended = co_await mLink.EndStream();
   co_return ended ? CallOutcome{ CallEnd::Answered, "complete", {} }
-                  : CallOutcome{ CallEnd::CallerGone, "caller gone after the record", {} };
+                  : CallOutcome{ CallEnd::CallerGone, "caller gone after the last event", {} };
 }
 
 boost::asio::awaitable<void>
@@ -336,7 +406,7 @@
   programs::TurnCompleted turn{ head.mAttempt,
                                 head.mProgram,
                                 head.mPreviousTurn.value_or(""),
-                                TokensSent(),
+                                0, // The block of the program accounts for the tokens.
                                 aReplica,
                                 mCall.mRoute->mRetention,
                                 mContext.mTexts.Next(),
@@ -357,29 +427,6 @@
   co_return true;
 }
 
-void
-TurnRunner::ReleaseReservation(uint64_t aTokens)
-{
-  if (!mReservation) {
-    return;
-  }
-  const auto release = [](Context& aContext,
-                          programs::AttemptEnded aEvent) -> boost::asio::awaitable<void> {
-    const std::string attempt = aEvent.mAttempt;
-    const auto limit = base::Clock::now() + kBackgroundTimeout;
-    const auto appended = co_await aContext.mPrograms.Append(std::move(aEvent), limit);
-    if (!base::IsOk(appended)) {
-      base::Log(base::LogEvent::LogAppendFailed,
-                "attempt={} the reservation stays until the program expires: {}",
-                attempt,
-                base::ErrorOf(appended).mMessage);
-    }
-  };
-  const CallHead& head = mCall.mHead;
-  boost::asio::co_spawn(
-    mContext.mExecutor, release(mContext, { head.mAttempt, head.mProgram, aTokens }), LogFailure{});
-}
-
 Millis
 TurnRunner::RetryAfter() const
 {
--- a/modules/gateway/tests/decisions_test.cpp
+++ b/modules/gateway/tests/decisions_test.cpp
@@ -1,4 +1,5 @@
 #include "call_trace.h"
+#include "fake_header_codec.h"
 #include "sycamore/gateway/replica_choice.h"
 #include "sycamore/gateway/replica_list.h"
 #include "sycamore/gateway/route_table.h"
@@ -181,16 +182,48 @@
 {
   const std::string bytes = "id: 1\ndata: a b\n\nversion: 3\nid: 2\ndata: c\n\nid: 3\nda";
   for (size_t cut = 0; cut < bytes.size(); ++cut) {
-    TurnOutput output;
+    const FakeHeaderCodec codec;
+    TurnOutput output(codec, TurnOutput::Keep::History);
+    output.BeginPart(2);
     std::string whole = output.Add(bytes.substr(0, cut));
     whole += output.Add(bytes.substr(cut));
     BOOST_TEST(whole == bytes.substr(0, bytes.size() - 8), cut);
     BOOST_TEST(output.History() == "a b\nc\n");
     BOOST_TEST(output.EventCount() == 2U);
-    BOOST_TEST(output.TakeRest() == "id: 3\nda");
+    BOOST_TEST(output.InsideEvent());
+    BOOST_TEST(output.Bytes() == output.History().size() + 8);
+    BOOST_TEST_REQUIRE(output.Resume().has_value());
+    BOOST_TEST(output.Resume()->mLastEvent == 2U);
+    BOOST_TEST(output.Resume()->mWeightVersion.value() == 3U);
   }
 }
 
+// Guards against a continued stream with a gap, a repeat or the rest of a half event, and against
+// ids that are not numbers.
+BOOST_AUTO_TEST_CASE(TurnOutputNextPartMustFollowTheLastWholeEvent)
+{
+  const FakeHeaderCodec codec;
+  const auto continued = [&](const std::string& aFirst, const std::string& aSecond) {
+    TurnOutput output(codec, TurnOutput::Keep::Nothing);
+    output.BeginPart(std::nullopt);
+    output.Add(aFirst);
+    output.BeginPart(std::nullopt);
+    output.Add(aSecond);
+    return output.InSequence() && !output.InsideEvent();
+  };
+  const std::string two = "id: 4\ndata: a\n\nid: 6\ndata: b\n\n";
+  BOOST_TEST(continued(two, "id: 8\ndata: c\n\nid: 10\ndata: d\n\n"));
+  BOOST_TEST(continued(two + "id: 8\nda", "id: 8\ndata: c\n\n"));
+  BOOST_TEST(!continued(two, "id: 6\ndata: b\n\n"));
+  BOOST_TEST(!continued(two, "id: 10\ndata: d\n\n"));
+  BOOST_TEST(!continued(two, "id: 8\ndata: c\n\nid: 12\ndata: d\n\n"));
+  BOOST_TEST(!continued(two, "data: c\n\n"));
+  TurnOutput unnumbered(codec, TurnOutput::Keep::Nothing);
+  unnumbered.BeginPart(std::nullopt);
+  unnumbered.Add("id: one\ndata: a\n\n");
+  BOOST_TEST(!unnumbered.Resume().has_value());
+}
+
 // Guards against a log line that names stages which the call has not reached, or none at all.
 BOOST_AUTO_TEST_CASE(CallTraceNamesTheStagesThatHaveEnded)
 {
--- /dev/null
+++ b/modules/gateway/tests/program_budgets_test.cpp
@@ -0,0 +1,189 @@
+#include "program_budgets.h"
+
+#include "fake_log_store.h"
+#include "loop_fixture.h"
+#include "sycamore/base/random.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sycamore::gateway {
+
+static constexpr uint64_t kTurnTokens = 100;
+
+// Gateways that share a log, and programs whose turns come in through any of them.
+struct ProgramBudgetsFixture : LoopFixture
+{
+  struct Process
+  {
+    Process(ProgramBudgetsFixture& aFixture, const std::string& aInstance)
+      : mLog(aFixture.mLoop.get_executor(), aFixture.mStore)
+      , mBudgets(aFixture.mLoop.get_executor(), mLog, aInstance)
+    {
+      aFixture.Spawn(mLog.Run());
+      aFixture.Spawn(mBudgets.Run());
+    }
+
+    ProgramLog mLog;
+    ProgramBudgets mBudgets;
+  };
+
+  FakeLogStore mStore;
+  std::vector<std::unique_ptr<Process>> mProcesses;
+  int mGranted = 0;
+  int mRefused = 0;
+  int mFailed = 0;
+  int mTurns = 0;
+  std::map<std::string, uint64_t> mTokensSent; // By program.
+
+  void AddProcesses(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      mProcesses.push_back(std::make_unique<Process>(*this, "g" + std::to_string(i)));
+    }
+    RunUntil([&] {
+      return std::all_of(mProcesses.begin(), mProcesses.end(), [](const auto& aProcess) {
+        return aProcess->mLog.Loaded();
+      });
+    });
+  }
+
+  boost::asio::awaitable<void> Turn(ProgramBudgets& aBudgets,
+                                    uint64_t aBudget,
+                                    uint64_t aTokens,
+                                    base::Millis aDuration,
+                                    std::string aProgram = "p")
+  {
+    const BudgetRequest request{ "t" + std::to_string(mTurns++), aProgram, aBudget, kTurnTokens };
+    auto outcome = co_await aBudgets.Acquire(request, base::Clock::now() + base::Seconds(4));
+    if (auto* draw = std::get_if<ProgramBudgets::Draw>(&outcome)) {
+      co_await SleepFor(aDuration);
+      mTokensSent[aProgram] += aTokens;
+      draw->Settle(aTokens);
+      ++mGranted;
+    } else {
+      ++(std::holds_alternative<base::Error>(outcome) ? mFailed : mRefused);
+    }
+  }
+
+  int Ended() const { return mGranted + mRefused + mFailed; }
+
+  void RunTurn(size_t aProcess, uint64_t aBudget, uint64_t aTokens)
+  {
+    const int before = Ended();
+    Spawn(Turn(mProcesses[aProcess]->mBudgets, aBudget, aTokens, base::Millis(1)));
+    RunUntil([&] { return Ended() > before; });
+  }
+};
+
+// Guards against a call of the store for each turn: the turns of a program draw from a block.
+BOOST_FIXTURE_TEST_CASE(ProgramBudgetsTurnsOfABlockNeedNoAppend, ProgramBudgetsFixture)
+{
+  AddProcesses(1);
+  RunTurn(0, 1000, 40);
+  const int appends = mStore.mAppends;
+  for (int i = 0; i < 4; ++i) {
+    RunTurn(0, 1000, 40);
+  }
+  BOOST_TEST(mGranted == 5);
+  BOOST_TEST(mStore.mAppends == appends);
+}
+
+// Guards against a program whose next turns are refused because the store is away: its block was
+// reserved before.
+BOOST_FIXTURE_TEST_CASE(ProgramBudgetsWithoutStoreGrantFromTheBlock, ProgramBudgetsFixture)
+{
+  AddProcesses(1);
+  RunTurn(0, 1000, 100);
+  mStore.mDown = true;
+  RunTurn(0, 1000, 100);
+  BOOST_TEST(mGranted == 2);
+}
+
+// Guards against a budget that stays blocked: the rest of an idle block is returned, so that the
+// next turns can use it at another gateway.
+BOOST_FIXTURE_TEST_CASE(ProgramBudgetsIdleBlockIsReturned, ProgramBudgetsFixture)
+{
+  AddProcesses(2);
+  RunTurn(0, 300, 10);
+  RunTurn(0, 300, 10);
+  RunTurn(0, 300, 10);
+  // 270 of 300 are left, but a block may hold them.
+  RunTurn(1, 300, 10);
+  RunTurn(1, 300, 10);
+  BOOST_TEST(mGranted == 5);
+  BOOST_TEST(mRefused == 0);
+}
+
+// Guards against a refusal that is not certain, and against one that comes late: nothing is left,
+// and no other turn may return anything.
+BOOST_FIXTURE_TEST_CASE(ProgramBudgetsSpentBudgetIsRefusedAtOnce, ProgramBudgetsFixture)
+{
+  AddProcesses(1);
+  RunTurn(0, 150, 100);
+  RunUntil([&] { return mProcesses[0]->mLog.Programs().SpentTokens("p") == 100; });
+  const base::TimePoint begin = base::Clock::now();
+  RunTurn(0, 150, 100);
+  BOOST_TEST(mRefused == 1);
+  BOOST_TEST((base::Clock::now() - begin < base::Millis(500)));
+}
+
+// Guards against a planned stop that keeps the rest of a budget.
+BOOST_FIXTURE_TEST_CASE(ProgramBudgetsStoppingReturnsTheBlocks, ProgramBudgetsFixture)
+{
+  AddProcesses(2);
+  RunTurn(0, 1000, 10);
+  bool settled = false;
+  const auto stop = [](ProgramBudgets& aBudgets, bool& aSettled) -> boost::asio::awaitable<void> {
+    co_await aBudgets.SettleAll(base::Clock::now() + base::Seconds(1));
+    aSettled = true;
+  };
+  Spawn(stop(mProcesses[0]->mBudgets, settled));
+  RunUntil([&] { return settled; });
+  RunUntil([&] { return mProcesses[1]->mLog.Programs().UsedTokens("p") == 10; });
+  BOOST_TEST(mProcesses[0]->mBudgets.ProgramCount() <= 1U);
+}
+
+// Guards against a program that exceeds its budget, whichever gateways its turns come in through,
+// while appends lose their answers and gateways crash with blocks that they have not settled. A
+// crashed gateway is one that gets no more turns and whose blocks stay.
+BOOST_FIXTURE_TEST_CASE(ProgramBudgetsNeverExceedTheBudget, ProgramBudgetsFixture)
+{
+  constexpr uint64_t kSeed = 20261205;
+  constexpr size_t kPrograms = 16;
+  constexpr int kSteps = 24;
+  AddProcesses(3);
+  std::vector<uint64_t> budgets;
+  for (size_t i = 0; i < kPrograms; ++i) {
+    budgets.push_back(100 + base::MixHash(kSeed, i) % 1400);
+  }
+  for (int step = 0; step < kSteps; ++step) {
+    for (size_t i = 0; i < kPrograms; ++i) {
+      const uint64_t draw = base::MixHash(kSeed, kPrograms * static_cast<uint64_t>(step + 1) + i);
+      auto& process = *mProcesses[mProcesses.size() - 1 - draw / 17 % 3];
+      Spawn(Turn(process.mBudgets,
+                 budgets[i],
+                 draw / 100 % (kTurnTokens + 1),
+                 base::Millis(draw / 7 % 20),
+                 "p" + std::to_string(i)));
+      mStore.mLostAnswers += draw % 11 == 0 ? 1 : 0;
+    }
+    mLoop.run_for(base::Millis(base::MixHash(kSeed, step) % 60));
+    mLoop.restart();
+    if (step % 8 == 7) {
+      mProcesses.push_back(std::make_unique<Process>(*this, "n" + std::to_string(step)));
+      RunUntil([&] { return mProcesses.back()->mLog.Loaded(); });
+    }
+  }
+  RunUntil([&] { return Ended() == mTurns; });
+  for (size_t i = 0; i < kPrograms; ++i) {
+    BOOST_TEST(mTokensSent["p" + std::to_string(i)] <= budgets[i]);
+  }
+  BOOST_TEST(mGranted > 0);
+  BOOST_TEST(mRefused > 0);
+}
+
+}
--- a/modules/programs/include/sycamore/programs/program_registry.h
+++ b/modules/programs/include/sycamore/programs/program_registry.h
@@ -36,6 +36,12 @@
   // Whether a reservation of aMaxTokens would be granted according to the applied records.
   bool FitsBudget(const std::string& aProgram, uint64_t aBudgetTokens, uint64_t aMaxTokens) const;
 
+  // Tokens that the ended attempts of aProgram sent. Only grows while the program is known.
+  uint64_t SpentTokens(const std::string& aProgram) const;
+
+  // SpentTokens and the maximum of all reservations that have not ended.
+  uint64_t UsedTokens(const std::string& aProgram) const;
+
   // The turn that ended with aAttempt, or null if unknown or expired.
   const Turn* FindTurn(const std::string& aAttempt) const;
 
--- a/modules/programs/src/program_registry.cpp
+++ b/modules/programs/src/program_registry.cpp
@@ -119,11 +119,22 @@
 ProgramRegistry::FitsBudget(const std::string& aProgram,
                             uint64_t aBudgetTokens,
                             uint64_t aMaxTokens) const
+{
+  return UsedTokens(aProgram) + aMaxTokens <= aBudgetTokens;
+}
+
+uint64_t
+ProgramRegistry::SpentTokens(const std::string& aProgram) const
+{
+  const auto program = mPrograms.find(aProgram);
+  return program == mPrograms.end() ? 0 : program->second.mSpent;
+}
+
+uint64_t
+ProgramRegistry::UsedTokens(const std::string& aProgram) const
 {
   const auto program = mPrograms.find(aProgram);
-  const uint64_t used =
-    program == mPrograms.end() ? 0 : program->second.mSpent + program->second.mReserved;
-  return used + aMaxTokens <= aBudgetTokens;
+  return program == mPrograms.end() ? 0 : program->second.mSpent + program->second.mReserved;
 }
 
 const Turn*
