Choose replicas by the parts of the prompt that they are assumed to keep

Cause: on a route without a kept history each turn went to another replica, often in another region, and its whole history was prefilled again; X-Sycamorelever-Prompt-Prefix was not decoded.

Change: the header is decoded into parts. Each replica's state holds an LRU estimate of the parts that this process sent there, bounded by the engine's memory. The first part of a prompt counts as kept by all replicas while all such parts fit into half of an engine, else by a share of them that the hash of part and replica selects. A session without a known replica prefers the one that its hash selects in the region, so that gateways agree. A running call counts 4 ms instead of 1.

Ruled out: the store.

--- a/modules/gateway/include/sycamore/gateway/call_head.h
+++ b/modules/gateway/include/sycamore/gateway/call_head.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "sycamore/base/clock.h"
+#include "sycamore/gateway/prompt_part.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sycamore::gateway {
 
@@ -20,6 +22,8 @@
   // The caller resumes a stream after an event that it names by its id.
   bool mResumes = false;
   std::optional<uint64_t> mLastEvent; // That id; nothing if it is not a number.
+  std::string mSession;               // Of one line of turns of the program.
+  std::vector<PromptPart> mPrompt;    // Empty if the request does not name its parts.
   uint64_t mPromptTokens = 0;
   uint64_t mMaxOutputTokens = 0;
   bool mMalformed = false; // A header of the call has an invalid value.
--- a/modules/gateway/src/call_runner.cpp
+++ b/modules/gateway/src/call_runner.cpp
@@ -80,7 +80,7 @@
 static boost::asio::awaitable<CallOutcome>
 RunSingle(Context& aContext, CallerLink& aLink, Call& aCall)
 {
-  const DispatchHint hint;
+  const DispatchHint hint{ "", aCall.mHead.mPromptTokens };
   auto result = co_await Dispatch(aContext, aLink, aCall, aCall.mRequest.body(), hint, nullptr);
   if (result.mExchange.mStatus == ExchangeStatus::Whole) {
     const auto status = result.mExchange.mAnswer.result_int();
--- a/modules/gateway/src/call_trace.cpp
+++ b/modules/gateway/src/call_trace.cpp
@@ -6,20 +6,6 @@
 
 namespace sycamore::gateway {
 
-static std::string_view
-PrefixName(PrefixUse aUse)
-{
-  switch (aUse) {
-    case PrefixUse::None:
-      return "none";
-    case PrefixUse::Kept:
-      return "kept";
-    case PrefixUse::Moved:
-      return "moved";
-  }
-  return "";
-}
-
 static void
 AppendStage(std::string& aText, std::string_view aName, std::optional<base::Millis> aTook)
 {
@@ -39,12 +25,13 @@
   AppendStage(text, "commit_ms", aTrace.mCommit);
   if (const auto& replica = aTrace.mLastReplica) {
     fmt::format_to(std::back_inserter(text),
-                   "replica={} domain={} assumed_load={:.1f}/{} prefix={} ",
+                   "replica={} domain={} assumed_load={:.1f}/{} kept_tokens={}/{} ",
                    replica->mId,
                    replica->mDomain,
                    replica->mAssumedLoad,
                    replica->mSlots,
-                   PrefixName(replica->mPrefix));
+                   replica->mKeptTokens,
+                   replica->mPromptTokens);
     if (replica->mReported) {
       fmt::format_to(std::back_inserter(text),
                      "reported_load={} ",
--- a/modules/gateway/src/call_trace.h
+++ b/modules/gateway/src/call_trace.h
@@ -9,14 +9,6 @@
 
 namespace sycamore::gateway {
 
-// Whether the chosen replica's cache was expected to hold a prefix of the prompt.
-enum class PrefixUse : uint8_t
-{
-  None,  // The call continues no turn.
-  Kept,  // The replica ran the turn that the call continues.
-  Moved, // Another replica ran it, so the prompt is prefilled again.
-};
-
 // The replica that a call was sent to last, with the load that the choice was based on.
 struct ReplicaTrace
 {
@@ -24,7 +16,8 @@
   std::string mDomain;
   double mAssumedLoad = 0; // Running and waiting calls.
   uint32_t mSlots = 0;
-  PrefixUse mPrefix = PrefixUse::None;
+  uint64_t mKeptTokens = 0; // Of the prompt, which its cache was assumed to hold.
+  uint64_t mPromptTokens = 0;
   std::optional<ReportedLoad> mReported; // With the answer.
 };
 
--- a/modules/gateway/src/context.h
+++ b/modules/gateway/src/context.h
@@ -4,6 +4,7 @@
 #include "program_budgets.h"
 #include "program_log.h"
 #include "replica_pool.h"
+#include "shared_prompts.h"
 #include "store_paths.h"
 #include "sycamore/gateway/header_codec.h"
 #include "sycamore/gateway/log_store.h"
@@ -62,6 +63,7 @@
   ReplicaList mReplicas;
   base::TimePoint mReplicasConfirmedAt;
   ReplicaPool mPool;
+  SharedPrompts mSharedPrompts;
   ProgramLog mPrograms;
   ProgramBudgets mBudgets;
   TurnTexts mTexts;
--- a/modules/gateway/src/dispatcher.cpp
+++ b/modules/gateway/src/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "elapsed.h"
 
 #include "sycamore/base/log.h"
+#include "sycamore/base/random.h"
 #include "sycamore/gateway/replica_choice.h"
 
 #include <algorithm>
@@ -27,10 +28,75 @@
 {
   ReplicaStatePtr mState; // Null if no replica is left to try.
   double mAssumedLoad = 0;
+  uint64_t mKeptTokens = 0; // Of the prompt, as assumed.
 };
 
 }
 
+namespace {
+
+// A replica that a call may go to.
+struct Candidate
+{
+  ReplicaStatePtr mState;
+  uint64_t mIdHash = 0;
+};
+
+}
+
+// Assumes which replicas keep the first part of the prompt. Of the replicas that this process knows
+// nothing about, those with the highest hash for the part are assumed to: all gateways agree on
+// them.
+static void
+AssumeSharedParts(Context& aContext,
+                  const Call& aCall,
+                  const std::vector<Candidate>& aCandidates,
+                  std::vector<ReplicaView>& aViews)
+{
+  const PromptPart& first = aCall.mHead.mPrompt.front();
+  const bool hasEngine = aCall.mService != nullptr && aCall.mService->mEngine;
+  const uint64_t capacity = hasEngine ? aCall.mService->mEngine->mCacheTokens : 0;
+  const double share = aContext.mSharedPrompts.KeptShare(capacity);
+  constexpr double kHashRange = 18446744073709551616.0; // 2^64
+  for (size_t i = 0; i < aViews.size(); ++i) {
+    const uint64_t rank = base::MixHash(first.mId, aCandidates[i].mIdHash);
+    if (static_cast<double>(rank) < share * kHashRange) {
+      aViews[i].mKeptTokens = std::max(aViews[i].mKeptTokens, first.mTokens);
+    }
+  }
+}
+
+// Assumes that the replica which the session of aCall belongs to by its hash keeps half of the
+// session's history, unless one is known to keep some. A line of turns that comes in through
+// several gateways therefore stays at one replica.
+static void
+AssumeHome(const Call& aCall,
+           const std::vector<Candidate>& aCandidates,
+           std::vector<ReplicaView>& aViews)
+{
+  const std::vector<PromptPart>& parts = aCall.mHead.mPrompt;
+  if (aCall.mHead.mSession.empty()) {
+    return;
+  }
+  const uint64_t session = base::StableHash(aCall.mHead.mSession);
+  const uint64_t total = TotalTokens(parts);
+  const uint64_t before = total - parts.back().mTokens; // Tokens of the parts before the session's.
+  std::optional<std::pair<uint64_t, size_t>> home;      // With its rank.
+  for (size_t i = 0; i < aViews.size(); ++i) {
+    if (aViews[i].mKeptTokens > before) {
+      return;
+    }
+    const std::pair candidate(base::MixHash(session, aCandidates[i].mIdHash), i);
+    if (aViews[i].mSameRegion && (!home || candidate > *home)) {
+      home = candidate;
+    }
+  }
+  if (home && aViews[home->second].mKeptTokens >= parts.front().mTokens) {
+    uint64_t& kept = aViews[home->second].mKeptTokens;
+    kept = std::max(kept, (parts.front().mTokens + total) / 2);
+  }
+}
+
 static ChosenReplica
 Choose(Context& aContext,
        const Call& aCall,
@@ -38,21 +104,36 @@
        const std::set<std::string>& aTried)
 {
   const base::TimePoint now = base::Clock::now();
-  std::vector<ReplicaStatePtr> states;
+  std::vector<Candidate> candidates;
   std::vector<ReplicaView> views;
   for (const Replica* replica : aContext.mReplicas.Usable(aCall.mServiceName, now)) {
     if (aTried.contains(replica->mId)) {
       continue;
     }
-    states.push_back(aContext.mPool.StateOf(*replica));
-    ReplicaView view = ViewOf(*states.back(), now);
+    ReplicaStatePtr state = aContext.mPool.StateOf(*replica);
+    ReplicaView view = ViewOf(*state, now);
     view.mRegion = aContext.RegionOf(replica->mDomain);
     view.mSameRegion = view.mRegion == aContext.mRegion;
-    view.mHasPrefix = replica->mId == aHint.mPrefixReplica;
+    view.mKeptTokens = replica->mId == aHint.mPrefixReplica
+                         ? aHint.mPromptTokens
+                         : state->mPrompts.KeptTokens(aCall.mHead.mPrompt);
     views.push_back(view);
+    candidates.push_back({ std::move(state), base::StableHash(replica->mId) });
+  }
+  if (!aCall.mHead.mPrompt.empty()) {
+    aContext.mSharedPrompts.Note(aCall.mHead.mPrompt.front(), now);
+    AssumeSharedParts(aContext, aCall, candidates, views);
+    if (aHint.mPrefixReplica.empty()) {
+      AssumeHome(aCall, candidates, views);
+    }
   }
   const auto choice = ChooseReplica(views, aHint.mPromptTokens, aContext.mTieBreak++);
-  return choice ? ChosenReplica{ states[choice->mIndex], choice->mAssumedLoad } : ChosenReplica{};
+  if (!choice) {
+    return {};
+  }
+  return { std::move(candidates[choice->mIndex].mState),
+           choice->mAssumedLoad,
+           views[choice->mIndex].mKeptTokens };
 }
 
 // The request to aReplica, without hop-by-hop headers.
@@ -154,11 +235,25 @@
 TraceOf(const ChosenReplica& aChosen, const DispatchHint& aHint)
 {
   const Replica& replica = aChosen.mState->mReplica;
-  PrefixUse prefix = PrefixUse::None;
-  if (!aHint.mPrefixReplica.empty()) {
-    prefix = replica.mId == aHint.mPrefixReplica ? PrefixUse::Kept : PrefixUse::Moved;
+  return { replica.mId,
+           replica.mDomain,
+           aChosen.mAssumedLoad,
+           replica.mSlots,
+           std::min(aChosen.mKeptTokens, aHint.mPromptTokens),
+           aHint.mPromptTokens,
+           {} };
+}
+
+// Records what the replica of aChosen has read of the prompt.
+static void
+NotePrompt(const Call& aCall, const ChosenReplica& aChosen, ExchangeStatus aStatus)
+{
+  if (aStatus != ExchangeStatus::Streamed || aCall.mHead.mPrompt.empty()) {
+    return;
   }
-  return { replica.mId, replica.mDomain, aChosen.mAssumedLoad, replica.mSlots, prefix, {} };
+  const bool hasEngine = aCall.mService != nullptr && aCall.mService->mEngine;
+  aChosen.mState->mPrompts.Note(aCall.mHead.mPrompt,
+                                hasEngine ? aCall.mService->mEngine->mCacheTokens : 0);
 }
 
 boost::asio::awaitable<DispatchResult>
@@ -190,6 +285,7 @@
                                             aCall.mDeadline,
                                             aSink);
     aCall.mTrace.mLastReplica->mReported = result.mExchange.mLoad;
+    NotePrompt(aCall, chosen, result.mExchange.mStatus);
     if (result.mExchange.mSent) {
       ++result.mSends;
       sends.mCounts.insert(replica.mId);
--- a/modules/gateway/src/replica_choice.cpp
+++ b/modules/gateway/src/replica_choice.cpp
@@ -16,7 +16,7 @@
 static constexpr base::Micros kQueuedCallDelay{ 100000 };
 // Each running call slows the steps of its batch slightly; also spreads calls over replicas with
 // free slots.
-static constexpr base::Micros kRunningCallDelay{ 1000 };
+static constexpr base::Micros kRunningCallDelay{ 4000 };
 // Older load reports are ignored. A process sends a replica about one call per second.
 static constexpr base::Millis kLoadReportValidity{ 2000 };
 // A replica is avoided for this time after a failure, doubled with each further failure.
@@ -118,10 +118,11 @@
   if (!aReplica.mSameRegion) {
     delay += kRegionDelay;
   }
-  if (!aReplica.mHasPrefix) {
+  const uint64_t missing = aPromptTokens - std::min(aReplica.mKeptTokens, aPromptTokens);
+  if (missing > 0) {
     // A prefill holds up the calls that run beside it too, so their delay counts as well.
     const double heldUp = std::min<double>(aAssumedLoad, aReplica.mSlots);
-    delay += Scaled(base::Micros(aPromptTokens * 1000 / kPrefillTokensPerMs), 1 + heldUp);
+    delay += Scaled(base::Micros(missing * 1000 / kPrefillTokensPerMs), 1 + heldUp);
   }
   if (IsAvoided(aReplica)) {
     delay += kAvoidancePenalty;
--- a/modules/gateway/src/replica_pool.h
+++ b/modules/gateway/src/replica_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "prompt_cache.h"
 #include "replica_connection.h"
 #include "sycamore/base/clock.h"
 #include "sycamore/base/result.h"
@@ -28,6 +29,7 @@
   uint32_t mSentSinceReport = 0; // Calls sent after mLoad arrived.
   uint32_t mRecentFailures = 0;
   base::TimePoint mLastFailure;
+  PromptCache mPrompts;
   std::vector<ReplicaConnectionPtr> mIdle; // The most recently used one last.
 };
 
--- a/modules/gateway/tests/decisions_test.cpp
+++ b/modules/gateway/tests/decisions_test.cpp
@@ -1,5 +1,7 @@
 #include "call_trace.h"
 #include "fake_header_codec.h"
+#include "prompt_cache.h"
+#include "shared_prompts.h"
 #include "sycamore/gateway/replica_choice.h"
 #include "sycamore/gateway/replica_list.h"
 #include "sycamore/gateway/route_table.h"
@@ -75,7 +77,7 @@
   for (ReplicaView& view : replicas) {
     view.mSlots = 16;
   }
-  replicas[1].mHasPrefix = true;
+  replicas[1].mKeptTokens = 3000;
   replicas[1].mInFlight = 8;
   BOOST_TEST(ChooseReplica(replicas, 3000, 0).value().mIndex == 1U);
   replicas[1].mInFlight = 60;
@@ -91,7 +93,7 @@
     view.mSlots = 8;
     view.mLoad = ReportedLoad{ 8, 2, 8 };
   }
-  replicas[1].mHasPrefix = true;
+  replicas[1].mKeptTokens = 2000;
   replicas[1].mLoad = ReportedLoad{ 8, 4, 8 };
   BOOST_TEST(ChooseReplica(replicas, 2000, 0).value().mIndex == 1U);
   // An idle replica prefills the prompt sooner than the queue advances.
@@ -99,6 +101,41 @@
   BOOST_TEST(ChooseReplica(replicas, 2000, 0).value().mIndex == 2U);
 }
 
+// Guards against programs that stay at one replica because it is the only one known to keep a part
+// that most replicas keep, and against a history that is read again elsewhere.
+BOOST_AUTO_TEST_CASE(PromptCacheKeepsWhatFitsIntoTheEngine)
+{
+  PromptCache cache;
+  const std::vector<PromptPart> first{ { 1, 600 }, { 2, 100 } };
+  const std::vector<PromptPart> second{ { 1, 600 }, { 2, 250 } };
+  const std::vector<PromptPart> other{ { 1, 600 }, { 3, 250 } };
+  cache.Note(first, 1000);
+  BOOST_TEST(cache.KeptTokens(second) == 700U);
+  BOOST_TEST(cache.KeptTokens(other) == 600U);
+  cache.Note(second, 1000);
+  BOOST_TEST(cache.KeptTokens(second) == 850U);
+  cache.Note(other, 1000); // Exceeds the memory: the history of the first session leaves.
+  BOOST_TEST(cache.KeptTokens(other) == 850U);
+  BOOST_TEST(cache.KeptTokens(second) == 600U);
+  BOOST_TEST(cache.KeptTokens({}) == 0U);
+}
+
+// Guards against the assumption that engines keep more shared parts than fit into their memory.
+BOOST_AUTO_TEST_CASE(SharedPromptsBeyondTheMemoryAreKeptBySomeReplicas)
+{
+  SharedPrompts prompts;
+  const base::TimePoint now = base::Clock::now();
+  BOOST_TEST(prompts.KeptShare(1000) == 1);
+  prompts.Note({ 1, 400 }, now);
+  prompts.Note({ 1, 400 }, now);
+  BOOST_TEST(prompts.KeptShare(1000) == 1);
+  prompts.Note({ 2, 600 }, now);
+  BOOST_TEST(prompts.KeptShare(1000) == 0.5);
+  prompts.Note({ 3, 300 }, now + base::Seconds(60));
+  BOOST_TEST(prompts.Size() == 1U);
+  BOOST_TEST(prompts.KeptShare(1000) == 1);
+}
+
 // Guards against calls that go on to a replica that just failed while others work.
 BOOST_AUTO_TEST_CASE(ReplicaThatJustFailedIsAvoided)
 {
@@ -120,7 +157,7 @@
     view.mSlots = *rc::gen::inRange<uint32_t>(1, 32);
     view.mInFlight = *rc::gen::inRange<uint32_t>(0, 64);
     view.mSameRegion = *rc::gen::arbitrary<bool>();
-    view.mHasPrefix = *rc::gen::arbitrary<bool>();
+    view.mKeptTokens = *rc::gen::inRange<uint64_t>(0, 12000);
     view.mRecentFailures = *rc::gen::inRange<uint32_t>(0, 6);
     view.mSinceFailure = base::Millis(*rc::gen::inRange(0, 8000));
   }
@@ -230,13 +267,13 @@
   CallTrace trace;
   BOOST_TEST(TraceText(trace) == "");
   trace.mHistory = base::Millis(3);
-  trace.mLastReplica = ReplicaTrace{ "i-1", "a", 2, 8, PrefixUse::Moved, std::nullopt };
+  trace.mLastReplica = ReplicaTrace{ "i-1", "a", 2, 8, 512, 900, std::nullopt };
   BOOST_TEST(TraceText(trace) ==
-             "history_ms=3 replica=i-1 domain=a assumed_load=2.0/8 prefix=moved ");
+             "history_ms=3 replica=i-1 domain=a assumed_load=2.0/8 kept_tokens=512/900 ");
   trace.mLastReplica->mReported = ReportedLoad{ 8, 15, 8 };
   trace.mCommit = base::Millis(150);
   BOOST_TEST(TraceText(trace) == "history_ms=3 commit_ms=150 replica=i-1 domain=a "
-                                 "assumed_load=2.0/8 prefix=moved reported_load=23 ");
+                                 "assumed_load=2.0/8 kept_tokens=512/900 reported_load=23 ");
 }
 
 }
