Spread the programs' and the texts' streams over partitions of the store

Change: the programs' stream has a sixth of the partitions that the store allows (4 on the large sites, 2 on the small ones), selected by the program; all gateways follow all of them into one registry, with the time between two reads multiplied by their number. A waiting reservation reads its partition itself. The texts' stream has a third of them, selected by the gateway; the completed turn names its partition. Old records are read as those of partition 0.

--- a/modules/gateway/include/sycamore/gateway/log_store.h
+++ b/modules/gateway/include/sycamore/gateway/log_store.h
@@ -4,6 +4,7 @@
 #include "sycamore/base/result.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -23,6 +24,22 @@
 
 constexpr size_t kStreamCount = static_cast<size_t>(StreamName::Texts) + 1;
 
+// A partition of a stream, which has offsets of its own and takes one append at a time. Keyed
+// streams have one partition.
+struct StreamId
+{
+  constexpr StreamId(StreamName aName, uint32_t aPartition = 0) // NOLINT: a name alone is its first
+    : mName(aName)
+    , mPartition(aPartition)
+  {
+  }
+
+  auto operator<=>(const StreamId&) const = default;
+
+  StreamName mName;
+  uint32_t mPartition;
+};
+
 // A record of a stream.
 struct StreamRecord
 {
@@ -67,20 +84,20 @@
   virtual ~LogStore() = default;
 
   // Appends aRecords to a stream without keys, all or none; returns the offset of the first.
-  virtual Async<uint64_t> Append(StreamName aStream,
+  virtual Async<uint64_t> Append(StreamId aStream,
                                  std::vector<std::string> aRecords,
                                  base::Millis aTimeout) = 0;
 
   // Sets the value of a key of a keyed stream; returns the offset of the record.
-  virtual Async<uint64_t> Put(StreamName aStream,
+  virtual Async<uint64_t> Put(StreamId aStream,
                               std::string aKey,
                               std::string aValue,
                               base::Millis aTimeout) = 0;
 
-  virtual Async<StreamPage> Read(StreamName aStream, ReadRange aRange, base::Millis aTimeout) = 0;
+  virtual Async<StreamPage> Read(StreamId aStream, ReadRange aRange, base::Millis aTimeout) = 0;
 
   // Reads the newest record of each key.
-  virtual Async<StreamSnapshot> Newest(StreamName aStream, base::Millis aTimeout) = 0;
+  virtual Async<StreamSnapshot> Newest(StreamId aStream, base::Millis aTimeout) = 0;
 };
 
 }
--- a/modules/gateway/src/context.h
+++ b/modules/gateway/src/context.h
@@ -2,7 +2,7 @@
 
 #include "metrics.h"
 #include "program_budgets.h"
-#include "program_log.h"
+#include "program_logs.h"
 #include "replica_pool.h"
 #include "shared_prompts.h"
 #include "store_paths.h"
@@ -10,6 +10,7 @@
 #include "sycamore/gateway/log_store.h"
 #include "sycamore/gateway/replica_list.h"
 #include "sycamore/gateway/route_table.h"
+#include "sycamore/settings/settings.h"
 #include "turn_texts.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -20,24 +21,35 @@
 
 namespace sycamore::gateway {
 
+// The number of partitions of the programs' stream, of the aStorePartitions that the store allows
+// for each. Every gateway follows all of them, which costs calls; a partition takes 500 appends a
+// second.
+uint32_t
+ProgramPartitions(uint32_t aStorePartitions);
+
+// The partition of the texts' stream that aInstance appends to.
+uint32_t
+TextPartition(uint32_t aStorePartitions, const std::string& aInstance);
+
 // State shared by the components of one gateway on its event loop.
 struct Context
 {
-  // aTextBytes limits the cache of history texts.
   Context(const boost::asio::any_io_executor& aExecutor,
           StorePaths& aStore,
           const HeaderCodec& aHeaderCodec,
           Metrics& aMetrics,
-          const std::string& aInstance,
-          size_t aTextBytes)
+          const settings::Settings& aSettings)
     : mExecutor(aExecutor)
     , mHeaderCodec(aHeaderCodec)
     , mMetrics(aMetrics)
     , mStore(aStore)
     , mPool(aExecutor)
-    , mPrograms(aExecutor, aStore)
-    , mBudgets(aExecutor, mPrograms, aInstance)
-    , mTexts(aExecutor, aStore, aTextBytes)
+    , mPrograms(aExecutor, aStore, ProgramPartitions(aSettings.mStorePartitions))
+    , mBudgets(aExecutor, mPrograms, aSettings.mInstance)
+    , mTexts(aExecutor,
+             aStore,
+             TextPartition(aSettings.mStorePartitions, aSettings.mInstance),
+             aSettings.mHistoryCacheBytes)
   {
   }
 
@@ -64,7 +76,7 @@
   base::TimePoint mReplicasConfirmedAt;
   ReplicaPool mPool;
   SharedPrompts mSharedPrompts;
-  ProgramLog mPrograms;
+  ProgramLogs mPrograms;
   ProgramBudgets mBudgets;
   TurnTexts mTexts;
   bool mStopping = false;
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -49,12 +49,7 @@
     , mStore(
         mLoop.get_executor(),
         std::make_unique<MeasuredStore>(mAdapters.mMakeLogStore(mLoop.get_executor()), mMetrics))
-    , mContext(mLoop.get_executor(),
-               mStore,
-               *mAdapters.mHeaderCodec,
-               mMetrics,
-               mSettings.mInstance,
-               mSettings.mHistoryCacheBytes)
+    , mContext(mLoop.get_executor(), mStore, *mAdapters.mHeaderCodec, mMetrics, mSettings)
     , mCallers(mLoop)
     , mPeers(mLoop)
     , mReadiness(mLoop)
--- a/modules/gateway/src/measured_store.cpp
+++ b/modules/gateway/src/measured_store.cpp
@@ -56,9 +56,9 @@
 }
 
 LogStore::Async<uint64_t>
-MeasuredStore::Append(StreamName aStream, std::vector<std::string> aRecords, Millis aTimeout)
+MeasuredStore::Append(StreamId aStream, std::vector<std::string> aRecords, Millis aTimeout)
 {
-  StoreCall call{ StoreOperation::Append, aStream };
+  StoreCall call{ StoreOperation::Append, aStream.mName };
   for (const std::string& record : aRecords) {
     call.mBytesSent += record.size();
   }
@@ -66,24 +66,24 @@
 }
 
 LogStore::Async<uint64_t>
-MeasuredStore::Put(StreamName aStream, std::string aKey, std::string aValue, Millis aTimeout)
+MeasuredStore::Put(StreamId aStream, std::string aKey, std::string aValue, Millis aTimeout)
 {
-  StoreCall call{ StoreOperation::Put, aStream };
+  StoreCall call{ StoreOperation::Put, aStream.mName };
   call.mBytesSent = aKey.size() + aValue.size();
   return Measure(call, mStore->Put(aStream, std::move(aKey), std::move(aValue), aTimeout));
 }
 
 LogStore::Async<StreamPage>
-MeasuredStore::Read(StreamName aStream, ReadRange aRange, Millis aTimeout)
+MeasuredStore::Read(StreamId aStream, ReadRange aRange, Millis aTimeout)
 {
-  const StoreCall call{ StoreOperation::Read, aStream };
+  const StoreCall call{ StoreOperation::Read, aStream.mName };
   return Measure(call, mStore->Read(aStream, aRange, aTimeout));
 }
 
 LogStore::Async<StreamSnapshot>
-MeasuredStore::Newest(StreamName aStream, Millis aTimeout)
+MeasuredStore::Newest(StreamId aStream, Millis aTimeout)
 {
-  const StoreCall call{ StoreOperation::Newest, aStream };
+  const StoreCall call{ StoreOperation::Newest, aStream.mName };
   return Measure(call, mStore->Newest(aStream, aTimeout));
 }
 
--- a/modules/gateway/src/measured_store.h
+++ b/modules/gateway/src/measured_store.h
@@ -17,15 +17,15 @@
   // aMetrics outlives the store.
   MeasuredStore(std::unique_ptr<LogStore> aStore, Metrics& aMetrics);
 
-  Async<uint64_t> Append(StreamName aStream,
+  Async<uint64_t> Append(StreamId aStream,
                          std::vector<std::string> aRecords,
                          base::Millis aTimeout) override;
-  Async<uint64_t> Put(StreamName aStream,
+  Async<uint64_t> Put(StreamId aStream,
                       std::string aKey,
                       std::string aValue,
                       base::Millis aTimeout) override;
-  Async<StreamPage> Read(StreamName aStream, ReadRange aRange, base::Millis aTimeout) override;
-  Async<StreamSnapshot> Newest(StreamName aStream, base::Millis aTimeout) override;
+  Async<StreamPage> Read(StreamId aStream, ReadRange aRange, base::Millis aTimeout) override;
+  Async<StreamSnapshot> Newest(StreamId aStream, base::Millis aTimeout) override;
 
 private:
   // Runs aOperation and counts it as aCall with its time and result.
--- a/modules/gateway/src/program_budgets.cpp
+++ b/modules/gateway/src/program_budgets.cpp
@@ -46,10 +46,10 @@
 }
 
 ProgramBudgets::ProgramBudgets(const boost::asio::any_io_executor& aExecutor,
-                               ProgramLog& aLog,
+                               ProgramLogs& aLogs,
                                std::string aInstance)
   : mExecutor(aExecutor)
-  , mLog(aLog)
+  , mLogs(aLogs)
   , mInstance(std::move(aInstance))
 {
 }
@@ -117,7 +117,7 @@
 uint64_t
 ProgramBudgets::BlockSize(const BudgetRequest& aRequest, uint64_t aReturnedTokens) const
 {
-  const uint64_t reserved = mLog.Programs().UsedTokens(aRequest.mProgram);
+  const uint64_t reserved = mLogs.Programs().UsedTokens(aRequest.mProgram);
   const uint64_t used = reserved - std::min(reserved, aReturnedTokens);
   const uint64_t left = aRequest.mBudgetTokens - std::min(used, aRequest.mBudgetTokens);
   return std::max(aRequest.mMaxTokens, left / kBlockDivisor);
@@ -147,16 +147,16 @@
     if (tokens > aRequest.mMaxTokens && BlockSize(aRequest, 0) < tokens) {
       continue; // The view of the budget was old; it is current now.
     }
-    const uint64_t spent = mLog.Programs().SpentTokens(aRequest.mProgram);
+    const uint64_t spent = mLogs.Programs().SpentTokens(aRequest.mProgram);
     const bool certain = spent + aRequest.mMaxTokens > aRequest.mBudgetTokens;
     if (certain || base::Clock::now() >= settled) {
       aOutRefused = true;
       co_return std::nullopt;
     }
-    while (
-      base::Clock::now() < settled &&
-      !mLog.Programs().FitsBudget(aRequest.mProgram, aRequest.mBudgetTokens, aRequest.mMaxTokens)) {
-      co_await mLog.WaitApplied(mLog.NextOffset(), settled);
+    while (base::Clock::now() < settled && !mLogs.Programs().FitsBudget(aRequest.mProgram,
+                                                                        aRequest.mBudgetTokens,
+                                                                        aRequest.mMaxTokens)) {
+      co_await mLogs.For(aRequest.mProgram).WaitForChange(settled);
     }
   }
 }
@@ -174,11 +174,12 @@
   const programs::AttemptReserved event{
     block->mId, block->mProgram, aRequest.mBudgetTokens, aTokens
   };
-  const auto appended = co_await mLog.Append(event, aDeadline);
+  ProgramLog& log = mLogs.For(block->mProgram);
+  const auto appended = co_await log.Append(event, aDeadline);
   std::optional<base::Error> error;
   if (!base::IsOk(appended)) {
     error = { ErrorKind::LogUnavailable, base::ErrorOf(appended).mMessage, "" };
-  } else if (!co_await mLog.WaitApplied(base::ValueOf(appended), aDeadline)) {
+  } else if (!co_await log.WaitApplied(base::ValueOf(appended), aDeadline)) {
     error = { ErrorKind::LogUnavailable,
               "the reservation was not applied before the deadline",
               "" };
@@ -188,7 +189,7 @@
     SettleBlock(*block);
     co_return error;
   }
-  if (mLog.Programs().ReservationOf(block->mProgram, block->mId) == Reservation::Granted) {
+  if (mLogs.Programs().ReservationOf(block->mProgram, block->mId) == Reservation::Granted) {
     block->mGrantedAt = base::Clock::now();
     block->mLastUsed = block->mGrantedAt;
     aOut = std::move(block);
@@ -199,8 +200,9 @@
 void
 ProgramBudgets::SettleBlock(const Block& aBlock)
 {
-  mLog.AppendDeferred(programs::AttemptEnded{ aBlock.mId, aBlock.mProgram, aBlock.mSent },
-                      base::Clock::now() + kSettlementTimeout);
+  mLogs.For(aBlock.mProgram)
+    .AppendDeferred(programs::AttemptEnded{ aBlock.mId, aBlock.mProgram, aBlock.mSent },
+                    base::Clock::now() + kSettlementTimeout);
 }
 
 uint64_t
@@ -266,7 +268,8 @@
       if (aBlock->mTurns > 0) {
         return false;
       }
-      appends.Spawn(append(mLog, { aBlock->mId, aBlock->mProgram, aBlock->mSent }, aDeadline));
+      appends.Spawn(append(
+        mLogs.For(aBlock->mProgram), { aBlock->mId, aBlock->mProgram, aBlock->mSent }, aDeadline));
       return true;
     });
   }
--- a/modules/gateway/src/program_budgets.h
+++ b/modules/gateway/src/program_budgets.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "async.h"
-#include "program_log.h"
+#include "program_logs.h"
 #include "sycamore/base/clock.h"
 #include "sycamore/base/error.h"
 
@@ -70,7 +70,7 @@
 
   // aInstance makes the ids of blocks unique among the gateways.
   ProgramBudgets(const boost::asio::any_io_executor& aExecutor,
-                 ProgramLog& aLog,
+                 ProgramLogs& aLogs,
                  std::string aInstance);
 
   // Settles idle blocks until the event loop ends.
@@ -135,7 +135,7 @@
   void SettleIdle();
 
   boost::asio::any_io_executor mExecutor;
-  ProgramLog& mLog;
+  ProgramLogs& mLogs;
   std::string mInstance;
   uint64_t mNextBlock = 0;
   std::map<std::string, std::shared_ptr<Program>> mPrograms;
--- a/modules/gateway/src/program_log.cpp
+++ b/modules/gateway/src/program_log.cpp
@@ -18,7 +18,7 @@
 static constexpr Millis kReadWait{ 1000 };
 static constexpr Millis kReadTimeout{ 1700 };
 // Interval between reads of a busy stream, so that one call returns several records: each call has
-// a cost.
+// a cost. Multiplied by the number of partitions, so that the calls do not grow with it.
 static constexpr Millis kReadInterval{ 40 };
 static constexpr Millis kRetryDelay{ 150 };
 // Timeout of a page while the history is loaded: a remote region reads about 1 MB/s.
@@ -32,8 +32,6 @@
 static constexpr uint32_t kLoadPageKilobytes = 128;
 // Timeout of a read that a call waits for. Remote regions take 75 ms.
 static constexpr Millis kCatchUpTimeout{ 600 };
-// How often expired turns are looked for.
-static constexpr base::Seconds kExpiryInterval{ 5 };
 
 static Millis
 TimeOfDay()
@@ -41,14 +39,21 @@
   return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch());
 }
 
-ProgramLog::ProgramLog(const boost::asio::any_io_executor& aExecutor, LogStore& aStore)
+ProgramLog::ProgramLog(const boost::asio::any_io_executor& aExecutor,
+                       LogStore& aStore,
+                       programs::ProgramRegistry& aPrograms,
+                       uint32_t aPartition,
+                       uint32_t aPartitions)
   : mExecutor(aExecutor)
   , mStore(aStore)
+  , mPrograms(aPrograms)
+  , mStream(StreamName::Programs, aPartition)
+  , mReadInterval(kReadInterval * aPartitions)
   , mApplied(aExecutor)
   , mWriter(
       aExecutor,
       aStore,
-      StreamName::Programs,
+      mStream,
       [this](uint64_t aOffset, const std::vector<std::string>& aRecords) {
         ApplyAppended(aOffset, aRecords);
       },
@@ -69,7 +74,7 @@
 {
   while (aSegment.mNext < aSegment.mEnd) {
     const ReadRange range{ aSegment.mNext, Millis(0), kLoadPageKilobytes };
-    auto page = co_await mStore.Read(StreamName::Programs, range, kLoadTimeout);
+    auto page = co_await mStore.Read(mStream, range, kLoadTimeout);
     if (!base::IsOk(page) || base::ValueOf(page).mRecords.empty()) {
       break; // The next round reads the missing records.
     }
@@ -114,7 +119,8 @@
     }
   }
   base::Log(LogEvent::HistoryLoaded,
-            "records={} programs={} turns={} took_ms={}",
+            "partition={} records={} programs={} turns={} took_ms={}",
+            mStream.mPartition,
             mNext,
             mPrograms.ProgramCount(),
             mPrograms.TurnCount(),
@@ -125,7 +131,6 @@
 boost::asio::awaitable<void>
 ProgramLog::Follow()
 {
-  base::TimePoint nextExpiry = base::Clock::now() + kExpiryInterval;
   for (;;) {
     const uint64_t before = mNext;
     const ReadRange range{ mNext, kReadWait };
@@ -133,11 +138,7 @@
     if (!base::IsOk(read)) {
       co_await SleepFor(kRetryDelay);
     } else if (mNext != before) {
-      co_await SleepFor(kReadInterval);
-    }
-    if (base::Clock::now() >= nextExpiry) {
-      mPrograms.Expire(TimeOfDay());
-      nextExpiry = base::Clock::now() + kExpiryInterval;
+      co_await SleepFor(mReadInterval);
     }
   }
 }
@@ -145,11 +146,12 @@
 boost::asio::awaitable<base::Result<base::Unit>>
 ProgramLog::ReadOnce(ReadRange aRange, Millis aTimeout)
 {
-  auto page = co_await mStore.Read(StreamName::Programs, aRange, aTimeout);
+  auto page = co_await mStore.Read(mStream, aRange, aTimeout);
   if (!base::IsOk(page)) {
     if (!std::exchange(mFailing, true)) {
       base::Log(LogEvent::LogReadFailed,
-                "stream=programs next={} error=\"{}\"",
+                "stream=programs partition={} next={} error=\"{}\"",
+                mStream.mPartition,
                 mNext,
                 base::ErrorOf(page).mMessage);
     }
@@ -188,7 +190,10 @@
   if (const auto record = programs::DecodeRecord(aBytes)) {
     mPrograms.Apply(*record);
   } else {
-    base::Log(LogEvent::BatchIgnored, "stream=programs offset={}: malformed record", aOffset);
+    base::Log(LogEvent::BatchIgnored,
+              "stream=programs partition={} offset={}: malformed record",
+              mStream.mPartition,
+              aOffset);
   }
   mNext = aOffset + 1;
 }
@@ -272,9 +277,22 @@
 ProgramLog::WaitApplied(uint64_t aOffset, base::TimePoint aDeadline)
 {
   while (mNext <= aOffset && base::Clock::now() < aDeadline) {
-    co_await mApplied.WaitUntil(aDeadline);
+    if (mCatchUpsStarted > mCatchUpsEnded) {
+      co_await mApplied.WaitUntil(aDeadline);
+      continue;
+    }
+    const auto caughtUp = co_await CatchUp(aDeadline);
+    if (!base::IsOk(caughtUp) && mNext <= aOffset) {
+      co_await mApplied.WaitUntil(std::min(aDeadline, base::Clock::now() + kRetryDelay));
+    }
   }
   co_return mNext > aOffset;
 }
 
+boost::asio::awaitable<void>
+ProgramLog::WaitForChange(base::TimePoint aDeadline)
+{
+  co_await mApplied.WaitUntil(aDeadline);
+}
+
 }
--- a/modules/gateway/src/program_log.h
+++ b/modules/gateway/src/program_log.h
@@ -15,12 +15,18 @@
 
 namespace sycamore::gateway {
 
-// Follows the programs' stream, applies each record to a registry, and appends to the stream. Lives
-// on one event loop.
+// Follows one partition of the programs' stream, applies each record to a registry, and appends to
+// the partition. Lives on one event loop.
 class ProgramLog
 {
 public:
-  ProgramLog(const boost::asio::any_io_executor& aExecutor, LogStore& aStore);
+  // The registry is shared by all partitions. aPartitions is their number: the more there are, the
+  // longer a reader waits between two reads of each.
+  ProgramLog(const boost::asio::any_io_executor& aExecutor,
+             LogStore& aStore,
+             programs::ProgramRegistry& aPrograms,
+             uint32_t aPartition = 0,
+             uint32_t aPartitions = 1);
 
   // Loads the history, then follows the stream until the event loop ends.
   boost::asio::awaitable<void> Run();
@@ -49,10 +55,13 @@
   // harmless.
   void AppendDeferred(programs::ProgramEvent aEvent, base::TimePoint aDeadline);
 
-  // Waits until the record at aOffset and all before it are applied. False if that did not happen
-  // before aDeadline.
+  // Waits until the record at aOffset and all before it are applied, and reads them if no read is
+  // under way. False if that did not happen before aDeadline.
   boost::asio::awaitable<bool> WaitApplied(uint64_t aOffset, base::TimePoint aDeadline);
 
+  // Waits until any record is applied, or until aDeadline.
+  boost::asio::awaitable<void> WaitForChange(base::TimePoint aDeadline);
+
 private:
   struct StreamSegment;
 
@@ -70,7 +79,9 @@
 
   boost::asio::any_io_executor mExecutor;
   LogStore& mStore;
-  programs::ProgramRegistry mPrograms;
+  programs::ProgramRegistry& mPrograms;
+  const StreamId mStream;
+  const base::Millis mReadInterval;
   uint64_t mNext = 0; // Offset of the next record to apply.
   uint64_t mEnd = 0;  // End of the stream as of the last page.
   // Reads by CatchUp are numbered from 1. One runs at a time and serves all waiters.
--- /dev/null
+++ b/modules/gateway/src/program_logs.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "program_log.h"
+#include "sycamore/programs/program_registry.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sycamore::gateway {
+
+// All partitions of the programs' stream. The records of a program are in the partition that its id
+// selects, which orders them; the store takes one append at a time for each partition, so that
+// their number bounds the appends of all gateways together. A turn may continue one of another
+// program, so that every gateway follows all partitions.
+class ProgramLogs
+{
+public:
+  // aPartitions is the same at all gateways, and at least 1.
+  ProgramLogs(const boost::asio::any_io_executor& aExecutor,
+              LogStore& aStore,
+              uint32_t aPartitions);
+
+  // Loads the history of all partitions, then follows them until the event loop ends.
+  boost::asio::awaitable<void> Run();
+
+  const programs::ProgramRegistry& Programs() const { return mPrograms; }
+
+  // The partition of aProgram.
+  ProgramLog& For(const std::string& aProgram);
+
+  // Whether everything that was in the stream when the process started has been applied.
+  bool Loaded() const;
+
+  // Whether the last call to the store failed, for any partition.
+  bool Failing() const;
+
+  // Records applied, of all partitions.
+  uint64_t AppliedRecords() const;
+
+  // Applies all records that are in the partition of aProgram at the time of the call and, if aLast
+  // or a turn before it is still unknown, those of the other partitions. Errors as
+  // ProgramLog::CatchUp.
+  boost::asio::awaitable<base::Result<base::Unit>> CatchUpWith(std::string aProgram,
+                                                               std::string aLast,
+                                                               base::TimePoint aDeadline);
+
+private:
+  boost::asio::awaitable<void> Expire();
+  boost::asio::awaitable<void> CatchUpOne(ProgramLog& aLog,
+                                          base::TimePoint aDeadline,
+                                          std::optional<base::Error>& aOutError);
+
+  boost::asio::any_io_executor mExecutor;
+  programs::ProgramRegistry mPrograms;
+  std::vector<std::unique_ptr<ProgramLog>> mLogs; // By partition.
+};
+
+}
--- a/modules/gateway/src/record_writer.cpp
+++ b/modules/gateway/src/record_writer.cpp
@@ -26,7 +26,7 @@
 
 RecordWriter::RecordWriter(const boost::asio::any_io_executor& aExecutor,
                            LogStore& aStore,
-                           StreamName aStream,
+                           StreamId aStream,
                            AppendedHandler aOnAppended,
                            Joiner aJoin)
   : mExecutor(aExecutor)
--- a/modules/gateway/src/record_writer.h
+++ b/modules/gateway/src/record_writer.h
@@ -31,7 +31,7 @@
   // Without aJoin, each record becomes a record of the stream.
   RecordWriter(const boost::asio::any_io_executor& aExecutor,
                LogStore& aStore,
-               StreamName aStream,
+               StreamId aStream,
                AppendedHandler aOnAppended,
                Joiner aJoin = nullptr);
 
@@ -73,7 +73,7 @@
 
   boost::asio::any_io_executor mExecutor;
   LogStore& mStore;
-  StreamName mStream;
+  StreamId mStream;
   AppendedHandler mOnAppended;
   Joiner mJoin;
   std::deque<PendingPtr> mQueue;
--- a/modules/gateway/src/relay_client.cpp
+++ b/modules/gateway/src/relay_client.cpp
@@ -79,11 +79,12 @@
 }
 
 static wire::RelayRequestT
-RequestOf(wire::RelayOperation aOperation, StreamName aStream)
+RequestOf(wire::RelayOperation aOperation, StreamId aStream)
 {
   wire::RelayRequestT request;
   request.operation = aOperation;
-  request.stream = static_cast<uint8_t>(aStream);
+  request.stream = static_cast<uint8_t>(aStream.mName);
+  request.partition = aStream.mPartition;
   return request;
 }
 
@@ -108,7 +109,7 @@
 }
 
 LogStore::Async<uint64_t>
-RelayClient::Append(StreamName aStream, std::vector<std::string> aRecords, Millis aTimeout)
+RelayClient::Append(StreamId aStream, std::vector<std::string> aRecords, Millis aTimeout)
 {
   wire::RelayRequestT request = RequestOf(wire::RelayOperation::Append, aStream);
   for (const std::string& record : aRecords) {
@@ -119,7 +120,7 @@
 }
 
 LogStore::Async<uint64_t>
-RelayClient::Put(StreamName aStream, std::string aKey, std::string aValue, Millis aTimeout)
+RelayClient::Put(StreamId aStream, std::string aKey, std::string aValue, Millis aTimeout)
 {
   wire::RelayRequestT request = RequestOf(wire::RelayOperation::Put, aStream);
   request.key = std::move(aKey);
@@ -129,7 +130,7 @@
 }
 
 LogStore::Async<StreamPage>
-RelayClient::Read(StreamName aStream, ReadRange aRange, Millis aTimeout)
+RelayClient::Read(StreamId aStream, ReadRange aRange, Millis aTimeout)
 {
   wire::RelayRequestT request = RequestOf(wire::RelayOperation::Read, aStream);
   request.from = aRange.mFrom;
@@ -140,7 +141,7 @@
 }
 
 LogStore::Async<StreamSnapshot>
-RelayClient::Newest(StreamName aStream, Millis aTimeout)
+RelayClient::Newest(StreamId aStream, Millis aTimeout)
 {
   const auto response = co_await Call(RequestOf(wire::RelayOperation::Newest, aStream), aTimeout);
   co_return AnswerOf(response, SnapshotOf);
--- a/modules/gateway/src/relay_client.h
+++ b/modules/gateway/src/relay_client.h
@@ -18,15 +18,15 @@
 public:
   RelayClient(const boost::asio::any_io_executor& aExecutor, http::Endpoint aPeer);
 
-  Async<uint64_t> Append(StreamName aStream,
+  Async<uint64_t> Append(StreamId aStream,
                          std::vector<std::string> aRecords,
                          base::Millis aTimeout) override;
-  Async<uint64_t> Put(StreamName aStream,
+  Async<uint64_t> Put(StreamId aStream,
                       std::string aKey,
                       std::string aValue,
                       base::Millis aTimeout) override;
-  Async<StreamPage> Read(StreamName aStream, ReadRange aRange, base::Millis aTimeout) override;
-  Async<StreamSnapshot> Newest(StreamName aStream, base::Millis aTimeout) override;
+  Async<StreamPage> Read(StreamId aStream, ReadRange aRange, base::Millis aTimeout) override;
+  Async<StreamSnapshot> Newest(StreamId aStream, base::Millis aTimeout) override;
 
 private:
   using Connection = std::unique_ptr<boost::beast::tcp_stream>;
--- a/modules/gateway/src/relay_server.cpp
+++ b/modules/gateway/src/relay_server.cpp
@@ -18,13 +18,13 @@
 // Maximum timeout that a peer may request.
 static constexpr uint32_t kMaxTimeoutMs = 5000;
 
-static std::optional<StreamName>
-StreamOf(uint8_t aNumber)
+static std::optional<StreamId>
+StreamOf(const wire::RelayRequestT& aRequest)
 {
-  if (aNumber >= kStreamCount) {
+  if (aRequest.stream >= kStreamCount) {
     return std::nullopt;
   }
-  return static_cast<StreamName>(aNumber);
+  return StreamId(static_cast<StreamName>(aRequest.stream), aRequest.partition);
 }
 
 static std::string
@@ -37,7 +37,7 @@
 Perform(LogStore& aStore, const wire::RelayRequestT& aRequest)
 {
   const Millis timeout(std::min(aRequest.timeout_ms, kMaxTimeoutMs));
-  const auto stream = StreamOf(aRequest.stream);
+  const auto stream = StreamOf(aRequest);
   if (!stream) {
     const base::Result<uint64_t> unknown =
       base::Error{ base::ErrorKind::LogUnavailable, "unknown stream", "" };
--- a/modules/gateway/src/state_dump.cpp
+++ b/modules/gateway/src/state_dump.cpp
@@ -65,7 +65,7 @@
     { "replicas", std::move(replicas) },
     { "programs",
       { { "loaded", aContext.mPrograms.Loaded() },
-        { "next_offset", aContext.mPrograms.NextOffset() },
+        { "applied_records", aContext.mPrograms.AppliedRecords() },
         { "programs", gauges.mPrograms },
         { "turns", gauges.mTurns },
         { "text_bytes", gauges.mTextBytes } } },
--- a/modules/gateway/src/store_paths.cpp
+++ b/modules/gateway/src/store_paths.cpp
@@ -172,7 +172,7 @@
 
 // The calls as operations that can run on any path.
 static StorePaths::Operation<uint64_t>
-AppendOperation(StreamName aStream, std::vector<std::string> aRecords)
+AppendOperation(StreamId aStream, std::vector<std::string> aRecords)
 {
   return [aStream, records = std::move(aRecords)](LogStore& aStore, Millis aLimit) {
     return aStore.Append(aStream, records, aLimit);
@@ -180,14 +180,14 @@
 }
 
 static StorePaths::Operation<uint64_t>
-PutOperation(StreamName aStream, std::string aKey, std::string aValue)
+PutOperation(StreamId aStream, std::string aKey, std::string aValue)
 {
   return [aStream, key = std::move(aKey), value = std::move(aValue)](
            LogStore& aStore, Millis aLimit) { return aStore.Put(aStream, key, value, aLimit); };
 }
 
 static StorePaths::Operation<StreamPage>
-ReadOperation(StreamName aStream, ReadRange aRange)
+ReadOperation(StreamId aStream, ReadRange aRange)
 {
   return [aStream, aRange](LogStore& aStore, Millis aLimit) {
     // A wait as long as the timeout would look like an unresponsive path.
@@ -198,37 +198,37 @@
 }
 
 static StorePaths::Operation<StreamSnapshot>
-NewestOperation(StreamName aStream)
+NewestOperation(StreamId aStream)
 {
   return [aStream](LogStore& aStore, Millis aLimit) { return aStore.Newest(aStream, aLimit); };
 }
 
 LogStore::Async<uint64_t>
-StorePaths::Append(StreamName aStream, std::vector<std::string> aRecords, Millis aTimeout)
+StorePaths::Append(StreamId aStream, std::vector<std::string> aRecords, Millis aTimeout)
 {
   return OnAnyPath(AppendOperation(aStream, std::move(aRecords)), aTimeout);
 }
 
 LogStore::Async<uint64_t>
-StorePaths::Put(StreamName aStream, std::string aKey, std::string aValue, Millis aTimeout)
+StorePaths::Put(StreamId aStream, std::string aKey, std::string aValue, Millis aTimeout)
 {
   return OnAnyPath(PutOperation(aStream, std::move(aKey), std::move(aValue)), aTimeout);
 }
 
 LogStore::Async<StreamPage>
-StorePaths::Read(StreamName aStream, ReadRange aRange, Millis aTimeout)
+StorePaths::Read(StreamId aStream, ReadRange aRange, Millis aTimeout)
 {
   return OnAnyPath(ReadOperation(aStream, aRange), aTimeout);
 }
 
 LogStore::Async<StreamSnapshot>
-StorePaths::Newest(StreamName aStream, Millis aTimeout)
+StorePaths::Newest(StreamId aStream, Millis aTimeout)
 {
   return OnAnyPath(NewestOperation(aStream), aTimeout);
 }
 
 LogStore::Async<uint64_t>
-StorePaths::DirectStore::Append(StreamName aStream,
+StorePaths::DirectStore::Append(StreamId aStream,
                                 std::vector<std::string> aRecords,
                                 Millis aTimeout)
 {
@@ -236,7 +236,7 @@
 }
 
 LogStore::Async<uint64_t>
-StorePaths::DirectStore::Put(StreamName aStream,
+StorePaths::DirectStore::Put(StreamId aStream,
                              std::string aKey,
                              std::string aValue,
                              Millis aTimeout)
@@ -245,13 +245,13 @@
 }
 
 LogStore::Async<StreamPage>
-StorePaths::DirectStore::Read(StreamName aStream, ReadRange aRange, Millis aTimeout)
+StorePaths::DirectStore::Read(StreamId aStream, ReadRange aRange, Millis aTimeout)
 {
   return mPaths.OnDirect(ReadOperation(aStream, aRange), aTimeout);
 }
 
 LogStore::Async<StreamSnapshot>
-StorePaths::DirectStore::Newest(StreamName aStream, Millis aTimeout)
+StorePaths::DirectStore::Newest(StreamId aStream, Millis aTimeout)
 {
   return mPaths.OnDirect(NewestOperation(aStream), aTimeout);
 }
--- a/modules/gateway/src/store_paths.h
+++ b/modules/gateway/src/store_paths.h
@@ -44,15 +44,15 @@
   // Time since the last call that succeeded on any path.
   base::Millis SinceSuccess() const;
 
-  Async<uint64_t> Append(StreamName aStream,
+  Async<uint64_t> Append(StreamId aStream,
                          std::vector<std::string> aRecords,
                          base::Millis aTimeout) override;
-  Async<uint64_t> Put(StreamName aStream,
+  Async<uint64_t> Put(StreamId aStream,
                       std::string aKey,
                       std::string aValue,
                       base::Millis aTimeout) override;
-  Async<StreamPage> Read(StreamName aStream, ReadRange aRange, base::Millis aTimeout) override;
-  Async<StreamSnapshot> Newest(StreamName aStream, base::Millis aTimeout) override;
+  Async<StreamPage> Read(StreamId aStream, ReadRange aRange, base::Millis aTimeout) override;
+  Async<StreamSnapshot> Newest(StreamId aStream, base::Millis aTimeout) override;
 
 private:
   // A path to the store with the failure state of its calls.
@@ -71,15 +71,15 @@
       : mPaths(aPaths)
     {
     }
-    Async<uint64_t> Append(StreamName aStream,
+    Async<uint64_t> Append(StreamId aStream,
                            std::vector<std::string> aRecords,
                            base::Millis aTimeout) override;
-    Async<uint64_t> Put(StreamName aStream,
+    Async<uint64_t> Put(StreamId aStream,
                         std::string aKey,
                         std::string aValue,
                         base::Millis aTimeout) override;
-    Async<StreamPage> Read(StreamName aStream, ReadRange aRange, base::Millis aTimeout) override;
-    Async<StreamSnapshot> Newest(StreamName aStream, base::Millis aTimeout) override;
+    Async<StreamPage> Read(StreamId aStream, ReadRange aRange, base::Millis aTimeout) override;
+    Async<StreamSnapshot> Newest(StreamId aStream, base::Millis aTimeout) override;
 
   private:
     StorePaths& mPaths;
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -134,7 +134,8 @@
   const auto limit = std::min(mCall.mDeadline, base::Clock::now() + kLogTimeout);
   auto chain = mContext.mPrograms.Programs().Chain(previous);
   if (!chain) {
-    const auto caughtUp = co_await mContext.mPrograms.CatchUp(limit);
+    const auto caughtUp =
+      co_await mContext.mPrograms.CatchUpWith(mCall.mHead.mProgram, previous, limit);
     chain = mContext.mPrograms.Programs().Chain(previous);
     if (!chain && !base::IsOk(caughtUp)) {
       co_return base::ErrorOf(caughtUp);
@@ -410,12 +411,14 @@
                                 aReplica,
                                 mCall.mRoute->mRetention,
                                 mContext.mTexts.Next(),
-                                static_cast<uint32_t>(text.Bytes()) };
+                                static_cast<uint32_t>(text.Bytes()),
+                                mContext.mTexts.Partition() };
+  ProgramLog& log = mContext.mPrograms.For(head.mProgram);
   // Both records are appended concurrently: in a remote region each takes 70 ms.
   std::optional<uint64_t> textOffset;
   TaskGroup textAppend(mContext.mExecutor);
   textAppend.Spawn(StoreText(std::move(text), textOffset));
-  const auto appended = co_await mContext.mPrograms.Append(std::move(turn), mCall.mDeadline);
+  const auto appended = co_await log.Append(std::move(turn), mCall.mDeadline);
   co_await textAppend.Wait();
   if (!base::IsOk(appended) || !textOffset) {
     co_return false;
@@ -423,7 +426,7 @@
   mCall.mTrace.mCommit = Since(begin);
   mContext.mMetrics.NoteCommit(*mCall.mTrace.mCommit);
   const programs::TextPlaced placed{ head.mAttempt, *textOffset };
-  mContext.mPrograms.AppendDeferred(placed, base::Clock::now() + kBackgroundTimeout);
+  log.AppendDeferred(placed, base::Clock::now() + kBackgroundTimeout);
   co_return true;
 }
 
--- a/modules/gateway/src/turn_texts.cpp
+++ b/modules/gateway/src/turn_texts.cpp
@@ -41,13 +41,15 @@
 
 TurnTexts::TurnTexts(const boost::asio::any_io_executor& aExecutor,
                      LogStore& aStore,
+                     uint32_t aPartition,
                      size_t aMaxBytes)
   : mExecutor(aExecutor)
   , mStore(aStore)
+  , mStream(StreamName::Texts, aPartition)
   , mMaxBytes(aMaxBytes)
   , mWriter(aExecutor,
             aStore,
-            StreamName::Texts,
+            mStream,
             [this](uint64_t aOffset, const std::vector<std::string>& aRecords) {
               mNextOffset = std::max(mNextOffset, aOffset + aRecords.size());
               mNextOffsetKnownAt = base::Clock::now();
@@ -66,7 +68,7 @@
       continue;
     }
     const ReadRange range{ mNextOffset, Millis(0), 1 };
-    const auto page = co_await mStore.Read(StreamName::Texts, range, kReadTimeout);
+    const auto page = co_await mStore.Read(mStream, range, kReadTimeout);
     if (base::IsOk(page)) {
       mNextOffset = std::max(mNextOffset, base::ValueOf(page).mEnd);
       mNextOffsetKnownAt = now;
@@ -144,10 +146,11 @@
 TurnTexts::ReadOne(TextReference aReference, base::TimePoint aDeadline)
 {
   const programs::TextLocation& location = aReference.mLocation;
+  const StreamId stream(StreamName::Texts, location.mPartition);
   const uint32_t kilobytes = (location.mBytes + kRecordOverhead) / kKilobyte + 1;
   ReadRange range{ location.mFrom, Millis(0), location.mExact ? kilobytes : kSearchPageKilobytes };
   while (base::Clock::now() < aDeadline && range.mFrom < location.mFrom + kMaxSearchedRecords) {
-    auto page = co_await mStore.Read(StreamName::Texts, range, kReadTimeout);
+    auto page = co_await mStore.Read(stream, range, kReadTimeout);
     if (!base::IsOk(page)) {
       co_return base::Error{ ErrorKind::LogUnavailable, base::ErrorOf(page).mMessage, "" };
     }
@@ -163,7 +166,8 @@
     range = { read.mNext, Millis(0), kSearchPageKilobytes };
   }
   base::Log(base::LogEvent::LogReadFailed,
-            "stream=texts attempt={} from={} exact={}: not found",
+            "stream=texts partition={} attempt={} from={} exact={}: not found",
+            location.mPartition,
             aReference.mAttempt,
             location.mFrom,
             location.mExact);
--- a/modules/gateway/src/turn_texts.h
+++ b/modules/gateway/src/turn_texts.h
@@ -33,7 +33,13 @@
 class TurnTexts
 {
 public:
-  TurnTexts(const boost::asio::any_io_executor& aExecutor, LogStore& aStore, size_t aMaxBytes);
+  // Appends to aPartition of the stream; texts of other gateways are in others.
+  TurnTexts(const boost::asio::any_io_executor& aExecutor,
+            LogStore& aStore,
+            uint32_t aPartition,
+            size_t aMaxBytes);
+
+  uint32_t Partition() const { return mStream.mPartition; }
 
   // Keeps Next up to date while this process appends nothing.
   boost::asio::awaitable<void> Run();
@@ -70,6 +76,7 @@
 
   boost::asio::any_io_executor mExecutor;
   LogStore& mStore;
+  const StreamId mStream;
   const size_t mMaxBytes;
   size_t mBytes = 0;
   std::list<std::string> mRecentlyUsed; // Attempts, the most recently used one first.
--- a/modules/gateway/tests/fake_log_store.h
+++ b/modules/gateway/tests/fake_log_store.h
@@ -15,7 +15,7 @@
 class FakeLogStore : public LogStore
 {
 public:
-  Async<uint64_t> Append(StreamName aStream,
+  Async<uint64_t> Append(StreamId aStream,
                          std::vector<std::string> aRecords,
                          base::Millis /*aTimeout*/) override
   {
@@ -34,7 +34,7 @@
     co_return offset;
   }
 
-  Async<uint64_t> Put(StreamName aStream,
+  Async<uint64_t> Put(StreamId aStream,
                       std::string aKey,
                       std::string aValue,
                       base::Millis aTimeout) override
@@ -43,7 +43,7 @@
     return Append(aStream, std::move(records), aTimeout);
   }
 
-  Async<StreamPage> Read(StreamName aStream, ReadRange aRange, base::Millis /*aTimeout*/) override
+  Async<StreamPage> Read(StreamId aStream, ReadRange aRange, base::Millis /*aTimeout*/) override
   {
     ++mReads;
     mLongestWait = std::max(mLongestWait, aRange.mWait);
@@ -63,7 +63,7 @@
     co_return page;
   }
 
-  Async<StreamSnapshot> Newest(StreamName /*aStream*/, base::Millis /*aTimeout*/) override
+  Async<StreamSnapshot> Newest(StreamId /*aStream*/, base::Millis /*aTimeout*/) override
   {
     co_await SleepFor(mLatency);
     if (mDown) {
@@ -72,7 +72,7 @@
     co_return StreamSnapshot{};
   }
 
-  std::map<StreamName, std::vector<std::string>> mStreams;
+  std::map<StreamId, std::vector<std::string>> mStreams;
   base::Millis mLatency{ 1 };
   size_t mMaxRecordsPerPage = 10; // Records of one answer.
   bool mDown = false;
--- a/modules/gateway/tests/program_budgets_test.cpp
+++ b/modules/gateway/tests/program_budgets_test.cpp
@@ -20,14 +20,14 @@
   struct Process
   {
     Process(ProgramBudgetsFixture& aFixture, const std::string& aInstance)
-      : mLog(aFixture.mLoop.get_executor(), aFixture.mStore)
-      , mBudgets(aFixture.mLoop.get_executor(), mLog, aInstance)
+      : mLogs(aFixture.mLoop.get_executor(), aFixture.mStore, 3)
+      , mBudgets(aFixture.mLoop.get_executor(), mLogs, aInstance)
     {
-      aFixture.Spawn(mLog.Run());
+      aFixture.Spawn(mLogs.Run());
       aFixture.Spawn(mBudgets.Run());
     }
 
-    ProgramLog mLog;
+    ProgramLogs mLogs;
     ProgramBudgets mBudgets;
   };
 
@@ -46,7 +46,7 @@
     }
     RunUntil([&] {
       return std::all_of(mProcesses.begin(), mProcesses.end(), [](const auto& aProcess) {
-        return aProcess->mLog.Loaded();
+        return aProcess->mLogs.Loaded();
       });
     });
   }
@@ -124,7 +124,7 @@
 {
   AddProcesses(1);
   RunTurn(0, 150, 100);
-  RunUntil([&] { return mProcesses[0]->mLog.Programs().SpentTokens("p") == 100; });
+  RunUntil([&] { return mProcesses[0]->mLogs.Programs().SpentTokens("p") == 100; });
   const base::TimePoint begin = base::Clock::now();
   RunTurn(0, 150, 100);
   BOOST_TEST(mRefused == 1);
@@ -143,7 +143,7 @@
   };
   Spawn(stop(mProcesses[0]->mBudgets, settled));
   RunUntil([&] { return settled; });
-  RunUntil([&] { return mProcesses[1]->mLog.Programs().UsedTokens("p") == 10; });
+  RunUntil([&] { return mProcesses[1]->mLogs.Programs().UsedTokens("p") == 10; });
   BOOST_TEST(mProcesses[0]->mBudgets.ProgramCount() <= 1U);
 }
 
@@ -175,7 +175,7 @@
     mLoop.restart();
     if (step % 8 == 7) {
       mProcesses.push_back(std::make_unique<Process>(*this, "n" + std::to_string(step)));
-      RunUntil([&] { return mProcesses.back()->mLog.Loaded(); });
+      RunUntil([&] { return mProcesses.back()->mLogs.Loaded(); });
     }
   }
   RunUntil([&] { return Ended() == mTurns; });
--- a/modules/gateway/tests/program_log_test.cpp
+++ b/modules/gateway/tests/program_log_test.cpp
@@ -9,7 +9,8 @@
 struct ProgramLogFixture : LoopFixture
 {
   FakeLogStore mStore;
-  ProgramLog mLog{ mLoop.get_executor(), mStore };
+  programs::ProgramRegistry mPrograms;
+  ProgramLog mLog{ mLoop.get_executor(), mStore, mPrograms };
   int mCaughtUp = 0;
   int mFailed = 0;
 
@@ -112,7 +113,8 @@
 BOOST_FIXTURE_TEST_CASE(ProgramLogLongHistoryIsLoadedInOrderByConcurrentReaders,
                         ProgramLogHistoryFixture)
 {
-  ProgramLog log(mLoop.get_executor(), mStore);
+  programs::ProgramRegistry programs;
+  ProgramLog log(mLoop.get_executor(), mStore, programs);
   mStore.mMaxRecordsPerPage = 50;
   Spawn(log.Run());
   const base::TimePoint begin = base::Clock::now();
@@ -128,7 +130,8 @@
 // Guards against a gap in the history when the store fails in the middle of the load.
 BOOST_FIXTURE_TEST_CASE(ProgramLogStoreFailsDuringTheLoadIsLoadedLater, ProgramLogHistoryFixture)
 {
-  ProgramLog log(mLoop.get_executor(), mStore);
+  programs::ProgramRegistry programs;
+  ProgramLog log(mLoop.get_executor(), mStore, programs);
   Spawn(log.Run());
   RunUntil([&] { return mStore.mReads > 20; });
   mStore.mDown = true;
--- a/modules/gateway/tests/turn_texts_test.cpp
+++ b/modules/gateway/tests/turn_texts_test.cpp
@@ -12,8 +12,8 @@
 struct TurnTextsFixture : LoopFixture
 {
   FakeLogStore mStore;
-  TurnTexts mWriter{ mLoop.get_executor(), mStore, 1000000 };
-  TurnTexts mReader{ mLoop.get_executor(), mStore, 1000 };
+  TurnTexts mWriter{ mLoop.get_executor(), mStore, 0, 1000000 };
+  TurnTexts mReader{ mLoop.get_executor(), mStore, 1, 1000 };
   std::optional<base::Result<std::vector<TurnTextPtr>>> mLoaded;
   std::vector<uint64_t> mOffsets;
 
--- a/modules/programs/include/sycamore/programs/program_record.h
+++ b/modules/programs/include/sycamore/programs/program_record.h
@@ -41,6 +41,7 @@
   base::Millis mRetention{ 0 };  // Time for which the turn can be continued.
   uint64_t mTextSearchStart = 0; // Offset in the texts' stream at which a search for them starts.
   uint32_t mTextBytes = 0;
+  uint32_t mTextPartition = 0; // Of the texts' stream.
 
   bool operator==(const TurnCompleted&) const = default;
 };
--- a/modules/programs/include/sycamore/programs/turn.h
+++ b/modules/programs/include/sycamore/programs/turn.h
@@ -10,9 +10,10 @@
 // Location of a turn's texts in the texts' stream.
 struct TextLocation
 {
-  uint64_t mFrom = 0;  // Offset of the record, or one before it.
-  bool mExact = false; // Whether mFrom is the record's own offset.
-  uint32_t mBytes = 0; // Of input and output together.
+  uint64_t mFrom = 0;      // Offset of the record, or one before it.
+  bool mExact = false;     // Whether mFrom is the record's own offset.
+  uint32_t mBytes = 0;     // Of input and output together.
+  uint32_t mPartition = 0; // Of the texts' stream.
 
   bool operator==(const TextLocation&) const = default;
 };
--- a/modules/programs/src/program_registry.cpp
+++ b/modules/programs/src/program_registry.cpp
@@ -54,7 +54,9 @@
   if (!added) {
     return;
   }
-  const TextLocation text{ aEvent.mTextSearchStart, false, aEvent.mTextBytes };
+  const TextLocation text{
+    aEvent.mTextSearchStart, false, aEvent.mTextBytes, aEvent.mTextPartition
+  };
   position->second = { aEvent.mProgram, aEvent.mPrevious, text, aEvent.mReplica, expires };
   ExtendChain(aEvent.mPrevious, expires);
 }
--- a/modules/programs/src/record_codec.cpp
+++ b/modules/programs/src/record_codec.cpp
@@ -81,6 +81,7 @@
   table.retention_ms = static_cast<uint64_t>(aEvent.mRetention.count());
   table.text_from = aEvent.mTextSearchStart;
   table.text_bytes = aEvent.mTextBytes;
+  table.text_partition = aEvent.mTextPartition;
   return EventOf(std::move(table));
 }
 
@@ -115,7 +116,8 @@
                           turn->replica,
                           base::Millis(turn->retention_ms),
                           turn->text_from,
-                          turn->text_bytes };
+                          turn->text_bytes,
+                          turn->text_partition };
   }
   if (const auto* placed = aEvent.AsTextPlaced()) {
     return TextPlaced{ UnpackId(placed->attempt, placed->attempt_text), placed->offset };
--- a/modules/settings/include/sycamore/settings/settings.h
+++ b/modules/settings/include/sycamore/settings/settings.h
@@ -45,6 +45,7 @@
   std::optional<http::Endpoint> mReadiness;           // Gateway: required; asked by the balancer.
   std::optional<http::Endpoint> mMetrics;             // Gateway: metrics and state dump.
   std::map<std::string, std::string> mRegionOfDomain; // Gateway: where replicas are.
+  uint32_t mStorePartitions = 1;                      // Gateway: that a stream may have.
   base::Millis mStoreRetention{ 0 };                  // Gateway: of records; 0 if not told.
   std::vector<world::Link> mLinks;                    // Entry.
   std::vector<TargetSettings> mTargets;               // Sidecar: at least one.
