--- a/modules/gateway/src/program_budgets.cpp
+++ b/modules/gateway/src/program_budgets.cpp
@@ -4,6 +4,7 @@
 #include "sycamore/base/log.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
 #include <cassert>
 #include <fmt/format.h>
 #include <utility>
@@ -14,15 +15,15 @@
 using base::Millis;
 using programs::Reservation;
 
-// A block takes this share of what is left of a budget: sub-agents and lines of turns that come in
-// through other gateways need the rest.
-static constexpr uint64_t kBlockDivisor = 2;
+// A block takes what is left of a budget divided by this: sub-agents and lines of turns that come
+// in through other gateways need the rest.
+static constexpr uint64_t kBlockDivisor = 3;
 // An unused block is settled after this time, well above the pauses between the turns of a program.
 static constexpr Millis kIdleTime{ 500 };
 // Turns stop to draw from a block of this age: readers forget a program two minutes after its last
 // record, and a block must not outlive that.
 static constexpr base::Seconds kMaxBlockAge{ 30 };
-static constexpr Millis kSweepInterval{ 100 };
+static constexpr Millis kSweepInterval{ 50 };
 // A refused reservation is repeated after this time if other reservations are outstanding, which
 // may be settled for less than they reserved. Covers the idle time of a block and its settlement.
 static constexpr Millis kSettlementWait{ 1300 };
@@ -115,8 +116,13 @@
 }
 
 uint64_t
-ProgramBudgets::BlockSize(const BudgetRequest& aRequest, uint64_t aReturnedTokens) const
+ProgramBudgets::BlockSize(const BudgetRequest& aRequest,
+                          const Program& aProgram,
+                          uint64_t aReturnedTokens) const
 {
+  if (aProgram.mContended) {
+    return aRequest.mMaxTokens;
+  }
   const uint64_t reserved = mLogs.Programs().UsedTokens(aRequest.mProgram);
   const uint64_t used = reserved - std::min(reserved, aReturnedTokens);
   const uint64_t left = aRequest.mBudgetTokens - std::min(used, aRequest.mBudgetTokens);
@@ -135,7 +141,7 @@
   // What no turn uses any more is returned with the same append, before the new reservation.
   uint64_t returned = SettleUnused(aProgram);
   for (;;) {
-    const uint64_t tokens = BlockSize(aRequest, std::exchange(returned, 0));
+    const uint64_t tokens = BlockSize(aRequest, aProgram, std::exchange(returned, 0));
     std::shared_ptr<Block> block;
     if (auto error = co_await ReserveTokens(aRequest, tokens, aDeadline, block)) {
       co_return error;
@@ -144,7 +150,7 @@
       aProgram.mBlocks.push_back(std::move(block));
       co_return std::nullopt;
     }
-    if (tokens > aRequest.mMaxTokens && BlockSize(aRequest, 0) < tokens) {
+    if (tokens > aRequest.mMaxTokens && BlockSize(aRequest, aProgram, 0) < tokens) {
       continue; // The view of the budget was old; it is current now.
     }
     const uint64_t spent = mLogs.Programs().SpentTokens(aRequest.mProgram);
@@ -197,6 +203,19 @@
   co_return std::nullopt;
 }
 
+static boost::asio::awaitable<void>
+AppendSettlement(ProgramLog& aLog, programs::AttemptEnded aEvent, base::TimePoint aDeadline)
+{
+  const std::string block = aEvent.mAttempt;
+  const auto appended = co_await aLog.Append(std::move(aEvent), aDeadline);
+  if (!base::IsOk(appended)) {
+    base::Log(base::LogEvent::LogAppendFailed,
+              "block={} counts as spent until the program expires: {}",
+              block,
+              base::ErrorOf(appended).mMessage);
+  }
+}
+
 void
 ProgramBudgets::SettleBlock(const Block& aBlock)
 {
@@ -220,6 +239,34 @@
   return returned;
 }
 
+void
+ProgramBudgets::SettleContended()
+{
+  for (const std::string& name : mLogs.TakeRefused()) {
+    if (const auto program = mPrograms.find(name); program != mPrograms.end()) {
+      program->second->mContended = true;
+    }
+  }
+  const base::TimePoint limit = base::Clock::now() + kSettlementTimeout;
+  for (const auto& [name, program] : mPrograms) {
+    if (!program->mContended) {
+      continue;
+    }
+    // Not deferred: a turn waits for it.
+    std::erase_if(program->mBlocks, [&](const std::shared_ptr<Block>& aBlock) {
+      if (aBlock->mTurns > 0) {
+        return false;
+      }
+      boost::asio::co_spawn(mExecutor,
+                            AppendSettlement(mLogs.For(aBlock->mProgram),
+                                             { aBlock->mId, aBlock->mProgram, aBlock->mSent },
+                                             limit),
+                            LogFailure{});
+      return true;
+    });
+  }
+}
+
 void
 ProgramBudgets::SettleIdle()
 {
@@ -243,6 +290,7 @@
 {
   for (;;) {
     co_await SleepFor(kSweepInterval);
+    SettleContended();
     SettleIdle();
   }
 }
@@ -251,24 +299,12 @@
 ProgramBudgets::SettleAll(base::TimePoint aDeadline)
 {
   TaskGroup appends(mExecutor);
-  const auto append = [](ProgramLog& aLog,
-                         programs::AttemptEnded aEvent,
-                         base::TimePoint aLimit) -> boost::asio::awaitable<void> {
-    const std::string block = aEvent.mAttempt;
-    const auto appended = co_await aLog.Append(std::move(aEvent), aLimit);
-    if (!base::IsOk(appended)) {
-      base::Log(base::LogEvent::LogAppendFailed,
-                "block={} counts as spent until the program expires: {}",
-                block,
-                base::ErrorOf(appended).mMessage);
-    }
-  };
   for (const auto& [name, program] : mPrograms) {
     std::erase_if(program->mBlocks, [&](const std::shared_ptr<Block>& aBlock) {
       if (aBlock->mTurns > 0) {
         return false;
       }
-      appends.Spawn(append(
+      appends.Spawn(AppendSettlement(
         mLogs.For(aBlock->mProgram), { aBlock->mId, aBlock->mProgram, aBlock->mSent }, aDeadline));
       return true;
     });
--- a/modules/gateway/src/program_budgets.h
+++ b/modules/gateway/src/program_budgets.h
@@ -29,8 +29,9 @@
 
 // Reserves the budgets of programs in the log, in blocks.
 //
-// A block is a reservation for several turns that run at this gateway: about half of what is left,
-// so that other gateways find the rest. A turn draws its maximum from the block of its program and
+// A block is a reservation for several turns that run at this gateway: a share of what is left, so
+// that other gateways find the rest. If one is refused all the same, all gateways see that in the
+// log and return what they do not use. A turn draws its maximum from the block of its program and
 // needs no call to the store while the block lasts. Until the block is settled all readers of the
 // log count it as spent, so that a program never exceeds its budget, whichever gateways crash. An
 // idle block is settled soon, since another gateway may need the rest. Lives on one event loop.
@@ -114,6 +115,8 @@
 
     std::vector<std::shared_ptr<Block>> mBlocks; // The newest one last; turns draw from it.
     bool mReserving = false;                     // One reservation at a time for each program.
+    // Another turn of the program was refused: blocks are for one turn and returned at its end.
+    bool mContended = false;
     Signal mChanged;
   };
 
@@ -127,11 +130,15 @@
                                                                    base::TimePoint aDeadline,
                                                                    std::shared_ptr<Block>& aOut);
   // aReturnedTokens are about to be returned to the budget.
-  uint64_t BlockSize(const BudgetRequest& aRequest, uint64_t aReturnedTokens) const;
+  uint64_t BlockSize(const BudgetRequest& aRequest,
+                     const Program& aProgram,
+                     uint64_t aReturnedTokens) const;
   static std::optional<Draw> TryDraw(Program& aProgram, uint64_t aTokens);
   void SettleBlock(const Block& aBlock);
   // Settles the blocks without turns in progress; returns the tokens that were not used.
   uint64_t SettleUnused(Program& aProgram);
+  // Returns unused blocks of programs whose turns are refused elsewhere.
+  void SettleContended();
   void SettleIdle();
 
   boost::asio::any_io_executor mExecutor;
--- a/modules/gateway/src/program_logs.h
+++ b/modules/gateway/src/program_logs.h
@@ -30,6 +30,9 @@
 
   const programs::ProgramRegistry& Programs() const { return mPrograms; }
 
+  // See ProgramRegistry.
+  std::vector<std::string> TakeRefused() { return mPrograms.TakeRefused(); }
+
   // The partition of aProgram.
   ProgramLog& For(const std::string& aProgram);
 
--- a/modules/gateway/src/stream_follower.cpp
+++ b/modules/gateway/src/stream_follower.cpp
@@ -15,6 +15,9 @@
 static constexpr base::Millis kReadWait{ 1000 };
 static constexpr base::Millis kReadTimeout{ 1700 };
 static constexpr base::Millis kSnapshotTimeout{ 1000 };
+// Time between the starts of two snapshots. While the store drops its history each read of changes
+// asks for a new one; without a pause the snapshots of all gateways take the store's bandwidth.
+static constexpr base::Millis kSnapshotInterval{ 1000 };
 // Delay after a failure: keeps the calls of all processes far below the store's limits.
 static constexpr base::Millis kRetryDelay{ 150 };
 
@@ -24,6 +27,7 @@
 struct Position
 {
   std::optional<uint64_t> mNext; // Nothing until a snapshot was read.
+  base::TimePoint mNextSnapshot; // Not before this time.
   bool mFailing = false;
 };
 
@@ -51,12 +55,18 @@
              Position& aPosition,
              const FollowerHandlers& aHandlers)
 {
+  const base::TimePoint now = base::Clock::now();
+  if (now < aPosition.mNextSnapshot) {
+    co_await SleepFor(std::chrono::duration_cast<base::Millis>(aPosition.mNextSnapshot - now));
+  }
+  aPosition.mNextSnapshot = base::Clock::now() + kSnapshotInterval;
   auto snapshot = co_await aStore.Newest(aStream, kSnapshotTimeout);
   if (!base::IsOk(snapshot)) {
     co_await ReportFailure(aPosition, aStream, base::ErrorOf(snapshot), aHandlers);
     co_return;
   }
-  aPosition = { base::ValueOf(snapshot).mEnd, false };
+  aPosition.mNext = base::ValueOf(snapshot).mEnd;
+  aPosition.mFailing = false;
   aHandlers.mOnSnapshot(base::TakeValue(std::move(snapshot)));
   aHandlers.mOnCurrent();
 }
@@ -78,7 +88,8 @@
     aPosition.mNext.reset();
     co_return;
   }
-  aPosition = { read.mNext, false };
+  aPosition.mNext = read.mNext;
+  aPosition.mFailing = false;
   for (StreamRecord& record : read.mRecords) {
     aHandlers.mOnRecord(std::move(record));
   }
--- a/modules/gateway/tests/fake_log_store.h
+++ b/modules/gateway/tests/fake_log_store.h
@@ -53,6 +53,7 @@
     }
     const auto& stream = mStreams[aStream];
     StreamPage page;
+    page.mExpired = mExpired;
     page.mEnd = stream.size();
     page.mNext = aRange.mFrom;
     while (page.mNext < page.mEnd && page.mRecords.size() < mMaxRecordsPerPage) {
@@ -76,7 +77,8 @@
   base::Millis mLatency{ 1 };
   size_t mMaxRecordsPerPage = 10; // Records of one answer.
   bool mDown = false;
-  int mLostAnswers = 0; // Appends that take effect without an answer.
+  bool mExpired = false; // Reads find that records before them were dropped.
+  int mLostAnswers = 0;  // Appends that take effect without an answer.
   int mAppends = 0;
   int mReads = 0;
   base::Millis mLongestWait{ 0 }; // That a read asked for.
--- a/modules/gateway/tests/program_budgets_test.cpp
+++ b/modules/gateway/tests/program_budgets_test.cpp
@@ -118,6 +118,21 @@
   BOOST_TEST(mRefused == 0);
 }
 
+// Guards against a refusal of a turn for which the budget has room: another gateway, whose turns go
+// on, holds more of it than they use.
+BOOST_FIXTURE_TEST_CASE(ProgramBudgetsBlockInUseIsReturnedWhenAnotherTurnNeedsIt,
+                        ProgramBudgetsFixture)
+{
+  AddProcesses(4);
+  for (int i = 0; i < 6; ++i) {
+    for (size_t process = 0; process < mProcesses.size(); ++process) {
+      RunTurn(process, 800, 20);
+    }
+  }
+  BOOST_TEST(mRefused == 0);
+  BOOST_TEST(mTokensSent["p"] == 480U);
+}
+
 // Guards against a refusal that is not certain, and against one that comes late: nothing is left,
 // and no other turn may return anything.
 BOOST_FIXTURE_TEST_CASE(ProgramBudgetsSpentBudgetIsRefusedAtOnce, ProgramBudgetsFixture)
--- a/modules/programs/include/sycamore/programs/program_registry.h
+++ b/modules/programs/include/sycamore/programs/program_registry.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace sycamore::programs {
@@ -42,6 +43,10 @@
   // SpentTokens and the maximum of all reservations that have not ended.
   uint64_t UsedTokens(const std::string& aProgram) const;
 
+  // The programs whose reservations were refused since the last call: reservations of others that
+  // are not used hold up their turns.
+  std::vector<std::string> TakeRefused() { return std::exchange(mRefused, {}); }
+
   // The turn that ended with aAttempt, or null if unknown or expired.
   const Turn* FindTurn(const std::string& aAttempt) const;
 
@@ -81,6 +86,7 @@
 
   std::unordered_map<std::string, Turn> mTurns; // By attempt.
   std::unordered_map<std::string, Program> mPrograms;
+  std::vector<std::string> mRefused; // See TakeRefused.
 };
 
 }
--- a/modules/programs/src/program_registry.cpp
+++ b/modules/programs/src/program_registry.cpp
@@ -31,6 +31,7 @@
   }
   if (program.mSpent + program.mReserved + aEvent.mMaxTokens > aEvent.mBudgetTokens) {
     attempt.mState = Reservation::Refused;
+    mRefused.push_back(aEvent.mProgram);
     return;
   }
   attempt = { Reservation::Granted, aEvent.mMaxTokens };
