Wait for a record by the read that is under way

Cause: since the streams have partitions, a reservation that waits for its record read the partition itself beside the follower's read, which transferred the same records twice.

Change: a waiting call ends the follower's pause; a read that is under way returns with the record. With a test that failed before.

--- a/modules/gateway/src/program_log.cpp
+++ b/modules/gateway/src/program_log.cpp
@@ -50,6 +50,7 @@
   , mStream(StreamName::Programs, aPartition)
   , mReadInterval(kReadInterval * aPartitions)
   , mApplied(aExecutor)
+  , mWake(aExecutor)
   , mWriter(
       aExecutor,
       aStore,
@@ -137,9 +138,10 @@
     const auto read = co_await ReadOnce(range, kReadTimeout);
     if (!base::IsOk(read)) {
       co_await SleepFor(kRetryDelay);
-    } else if (mNext != before) {
-      co_await SleepFor(mReadInterval);
+    } else if (mNext != before && !mReadWanted) {
+      co_await mWake.WaitUntil(base::Clock::now() + mReadInterval);
     }
+    mReadWanted = false;
   }
 }
 
@@ -277,14 +279,11 @@
 ProgramLog::WaitApplied(uint64_t aOffset, base::TimePoint aDeadline)
 {
   while (mNext <= aOffset && base::Clock::now() < aDeadline) {
-    if (mCatchUpsStarted > mCatchUpsEnded) {
-      co_await mApplied.WaitUntil(aDeadline);
-      continue;
-    }
-    const auto caughtUp = co_await CatchUp(aDeadline);
-    if (!base::IsOk(caughtUp) && mNext <= aOffset) {
-      co_await mApplied.WaitUntil(std::min(aDeadline, base::Clock::now() + kRetryDelay));
-    }
+    // A read that is under way returns as soon as it sees the record. Another one would transfer
+    // the same records twice.
+    mReadWanted = true;
+    mWake.NotifyAll();
+    co_await mApplied.WaitUntil(aDeadline);
   }
   co_return mNext > aOffset;
 }
--- a/modules/gateway/src/program_log.h
+++ b/modules/gateway/src/program_log.h
@@ -55,8 +55,8 @@
   // harmless.
   void AppendDeferred(programs::ProgramEvent aEvent, base::TimePoint aDeadline);
 
-  // Waits until the record at aOffset and all before it are applied, and reads them if no read is
-  // under way. False if that did not happen before aDeadline.
+  // Waits until the record at aOffset and all before it are applied; ends the pause before the next
+  // read. False if that did not happen before aDeadline.
   boost::asio::awaitable<bool> WaitApplied(uint64_t aOffset, base::TimePoint aDeadline);
 
   // Waits until any record is applied, or until aDeadline.
@@ -91,6 +91,8 @@
   bool mLoaded = false;
   bool mFailing = false;
   Signal mApplied; // Notified each time mNext advances.
+  Signal mWake;    // Ends the pause before the next read.
+  bool mReadWanted = false;
   RecordWriter mWriter;
 };
 
--- a/modules/gateway/tests/program_log_test.cpp
+++ b/modules/gateway/tests/program_log_test.cpp
@@ -144,4 +144,33 @@
   BOOST_TEST(log.Programs().FitsBudget("p", 10, 10));
 }
 
+// Guards against reservations that wait for the pause between two reads, and against a second read
+// of the same records beside the one that is under way: with many gateways they took the store's
+// bandwidth.
+BOOST_FIXTURE_TEST_CASE(ProgramLogWaitingRecordEndsThePauseWithoutASecondRead, LoopFixture)
+{
+  constexpr uint32_t kPartitions = 100; // The pause is 4 s.
+  FakeLogStore store;
+  programs::ProgramRegistry programs;
+  ProgramLog log(mLoop.get_executor(), store, programs, 0, kPartitions);
+  Spawn(log.Run());
+  RunUntil([&] { return log.Loaded(); });
+  const auto append = [&] {
+    store.mStreams[StreamName::Programs].push_back(
+      programs::EncodeRecord({ base::Millis(1), { ProgramLogFixture::CompletedTurn("t") } }));
+  };
+  append();
+  RunUntil([&] { return log.NextOffset() == 1; });
+  append();
+  const int reads = store.mReads;
+  bool applied = false;
+  const auto wait = [](ProgramLog& aLog, bool& aApplied) -> boost::asio::awaitable<void> {
+    aApplied = co_await aLog.WaitApplied(1, base::Clock::now() + base::Seconds(2));
+  };
+  Spawn(wait(log, applied));
+  RunUntil([&] { return log.NextOffset() == 2; });
+  BOOST_TEST(store.mReads == reads + 1);
+  RunUntil([&] { return applied; });
+}
+
 }
