Load partitions one after the other and serve each at once; shorter records; count all sent tokens

The ids of blocks took 45 bytes twice.

Change: a gateway loads one partition after the other, each gateway starts with another one, and a turn needs only the partition of its program. Ids of blocks and programs are packed into numbers.

--- a/modules/gateway/src/context.h
+++ b/modules/gateway/src/context.h
@@ -6,6 +6,7 @@
 #include "replica_pool.h"
 #include "shared_prompts.h"
 #include "store_paths.h"
+#include "sycamore/base/random.h"
 #include "sycamore/gateway/header_codec.h"
 #include "sycamore/gateway/log_store.h"
 #include "sycamore/gateway/replica_list.h"
@@ -44,7 +45,10 @@
     , mMetrics(aMetrics)
     , mStore(aStore)
     , mPool(aExecutor)
-    , mPrograms(aExecutor, aStore, ProgramPartitions(aSettings.mStorePartitions))
+    , mPrograms(aExecutor,
+                aStore,
+                ProgramPartitions(aSettings.mStorePartitions),
+                base::StableHash(aSettings.mInstance))
     , mBudgets(aExecutor, mPrograms, aSettings.mInstance)
     , mTexts(aExecutor,
              aStore,
--- a/modules/gateway/src/program_budgets.cpp
+++ b/modules/gateway/src/program_budgets.cpp
@@ -2,11 +2,13 @@
 
 #include "elapsed.h"
 #include "sycamore/base/log.h"
+#include "sycamore/base/random.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <cassert>
 #include <fmt/format.h>
+#include <random>
 #include <utility>
 
 namespace sycamore::gateway {
@@ -40,18 +42,17 @@
   assert(mBlock->mTurns > 0 && mBlock->mDrawn >= mMaxTokens);
   --mBlock->mTurns;
   mBlock->mDrawn -= mMaxTokens;
-  // A replica that generates more than it was asked for takes the rest of the block.
-  mBlock->mSent += std::min(aTokens, mBlock->mTokens - mBlock->mDrawn - mBlock->mSent);
+  mBlock->mSent += aTokens;
   mBlock->mLastUsed = base::Clock::now();
   mBlock.reset();
 }
 
 ProgramBudgets::ProgramBudgets(const boost::asio::any_io_executor& aExecutor,
                                ProgramLogs& aLogs,
-                               std::string aInstance)
+                               const std::string& aInstance)
   : mExecutor(aExecutor)
   , mLogs(aLogs)
-  , mInstance(std::move(aInstance))
+  , mIdSeed(base::MixHash(base::StableHash(aInstance), std::random_device()()))
 {
 }
 
@@ -174,7 +175,8 @@
                               std::shared_ptr<Block>& aOut)
 {
   auto block = std::make_shared<Block>();
-  block->mId = fmt::format("{}@{}.{}", aRequest.mAttempt, mInstance, mNextBlock++);
+  // 16 hexadecimal digits are stored as a number; all gateways read every record.
+  block->mId = fmt::format("{:016x}", base::MixHash(mIdSeed, mNextBlock++));
   block->mProgram = aRequest.mProgram;
   block->mTokens = aTokens;
   const programs::AttemptReserved event{
--- a/modules/gateway/src/program_budgets.h
+++ b/modules/gateway/src/program_budgets.h
@@ -5,6 +5,7 @@
 #include "sycamore/base/clock.h"
 #include "sycamore/base/error.h"
 
+#include <algorithm>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
@@ -21,7 +22,6 @@
 // What a turn takes from the budget of its program.
 struct BudgetRequest
 {
-  std::string mAttempt; // Of the turn.
   std::string mProgram;
   uint64_t mBudgetTokens = 0; // Of the whole program.
   uint64_t mMaxTokens = 0;    // Maximum that the turn can generate.
@@ -69,10 +69,10 @@
   {};
   using Outcome = std::variant<Draw, Refused, base::Error>;
 
-  // aInstance makes the ids of blocks unique among the gateways.
+  // The ids of blocks are hashes of aInstance, a random number and a counter.
   ProgramBudgets(const boost::asio::any_io_executor& aExecutor,
                  ProgramLogs& aLogs,
-                 std::string aInstance);
+                 const std::string& aInstance);
 
   // Settles idle blocks until the event loop ends.
   boost::asio::awaitable<void> Run();
@@ -103,7 +103,8 @@
     base::TimePoint mGrantedAt;
     base::TimePoint mLastUsed;
 
-    uint64_t Available() const { return mTokens - mDrawn - mSent; }
+    // 0 also if a replica has generated more than it was asked for, so that mSent exceeds mTokens.
+    uint64_t Available() const { return mTokens - std::min(mTokens, mDrawn + mSent); }
   };
 
   struct Program
@@ -143,7 +144,7 @@
 
   boost::asio::any_io_executor mExecutor;
   ProgramLogs& mLogs;
-  std::string mInstance;
+  uint64_t mIdSeed; // Differs between gateways, and between the starts of one.
   uint64_t mNextBlock = 0;
   std::map<std::string, std::shared_ptr<Program>> mPrograms;
 };
--- a/modules/gateway/src/program_log.h
+++ b/modules/gateway/src/program_log.h
@@ -36,6 +36,8 @@
   // Whether everything that was in the stream when the process started has been applied.
   bool Loaded() const { return mLoaded; }
 
+  uint32_t Partition() const { return mStream.mPartition; }
+
   // Offset of the next record to apply.
   uint64_t NextOffset() const { return mNext; }
 
--- a/modules/gateway/src/program_logs.cpp
+++ b/modules/gateway/src/program_logs.cpp
@@ -15,8 +15,10 @@
 
 ProgramLogs::ProgramLogs(const boost::asio::any_io_executor& aExecutor,
                          LogStore& aStore,
-                         uint32_t aPartitions)
+                         uint32_t aPartitions,
+                         uint64_t aFirstLoaded)
   : mExecutor(aExecutor)
+  , mFirstLoaded(aFirstLoaded)
 {
   assert(aPartitions > 0);
   for (uint32_t partition = 0; partition < aPartitions; ++partition) {
@@ -28,8 +30,12 @@
 boost::asio::awaitable<void>
 ProgramLogs::Run()
 {
-  for (const auto& log : mLogs) {
-    boost::asio::co_spawn(mExecutor, log->Run(), LogFailure{});
+  for (size_t i = 0; i < mLogs.size(); ++i) {
+    ProgramLog& log = *mLogs[(mFirstLoaded + i) % mLogs.size()];
+    boost::asio::co_spawn(mExecutor, log.Run(), LogFailure{});
+    while (!log.Loaded()) {
+      co_await log.WaitForChange(base::TimePoint::max());
+    }
   }
   co_await Expire();
 }
--- a/modules/gateway/src/program_logs.h
+++ b/modules/gateway/src/program_logs.h
@@ -20,12 +20,16 @@
 class ProgramLogs
 {
 public:
-  // aPartitions is the same at all gateways, and at least 1.
+  // aPartitions is the same at all gateways, and at least 1. aFirstLoaded, modulo their number, is
+  // the partition that is loaded first.
   ProgramLogs(const boost::asio::any_io_executor& aExecutor,
               LogStore& aStore,
-              uint32_t aPartitions);
+              uint32_t aPartitions,
+              uint64_t aFirstLoaded = 0);
 
-  // Loads the history of all partitions, then follows them until the event loop ends.
+  // Loads the history, one partition after the other, and follows each until the event loop ends.
+  // After a loss of all gateways they share the store's bandwidth: each starts with another
+  // partition, so that every program is soon served by some.
   boost::asio::awaitable<void> Run();
 
   const programs::ProgramRegistry& Programs() const { return mPrograms; }
@@ -36,7 +40,7 @@
   // The partition of aProgram.
   ProgramLog& For(const std::string& aProgram);
 
-  // Whether everything that was in the stream when the process started has been applied.
+  // Whether everything that was in all partitions when the process started has been applied.
   bool Loaded() const;
 
   // Whether the last call to the store failed, for any partition.
@@ -61,6 +65,7 @@
   boost::asio::any_io_executor mExecutor;
   programs::ProgramRegistry mPrograms;
   std::vector<std::unique_ptr<ProgramLog>> mLogs; // By partition.
+  uint64_t mFirstLoaded;
 };
 
 }
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -112,7 +112,8 @@
 std::optional<base::Error>
 TurnRunner::CheckLog() const
 {
-  if (!mContext.mPrograms.Loaded()) {
+  // A turn before this one may be in another partition; CatchUpWith reads all of them then.
+  if (!mContext.mPrograms.For(mCall.mHead.mProgram).Loaded()) {
     return base::Error{ ErrorKind::LogUnavailable, "the history is being loaded", "" };
   }
   if (!mContext.mStore.Reachable()) {
@@ -201,9 +202,7 @@
 TurnRunner::StartReservation()
 {
   const CallHead& head = mCall.mHead;
-  const BudgetRequest request{
-    head.mAttempt, head.mProgram, *head.mBudgetTokens, head.mMaxOutputTokens
-  };
+  const BudgetRequest request{ head.mProgram, *head.mBudgetTokens, head.mMaxOutputTokens };
   if (head.mProgram.empty()) {
     return base::Error{ ErrorKind::MalformedBody, "a budget needs the id of its program", "" };
   }
--- a/modules/gateway/tests/program_budgets_test.cpp
+++ b/modules/gateway/tests/program_budgets_test.cpp
@@ -57,7 +57,8 @@
                                     base::Millis aDuration,
                                     std::string aProgram = "p")
   {
-    const BudgetRequest request{ "t" + std::to_string(mTurns++), aProgram, aBudget, kTurnTokens };
+    const BudgetRequest request{ aProgram, aBudget, kTurnTokens };
+    ++mTurns;
     auto outcome = co_await aBudgets.Acquire(request, base::Clock::now() + base::Seconds(4));
     if (auto* draw = std::get_if<ProgramBudgets::Draw>(&outcome)) {
       co_await SleepFor(aDuration);
--- /dev/null
+++ b/modules/gateway/tests/program_logs_test.cpp
@@ -0,0 +1,73 @@
+#include "program_logs.h"
+
+#include "fake_log_store.h"
+#include "loop_fixture.h"
+#include "sycamore/programs/record_codec.h"
+
+#include <set>
+#include <string>
+
+namespace sycamore::gateway {
+
+struct ProgramLogsFixture : LoopFixture
+{
+  static constexpr uint32_t kPartitions = 4;
+  static constexpr uint64_t kFirst = 2;
+
+  FakeLogStore mStore;
+  ProgramLogs mLogs{ mLoop.get_executor(), mStore, kPartitions, kFirst };
+
+  // The id of a program in aPartition.
+  std::string ProgramIn(uint32_t aPartition)
+  {
+    for (int i = 0;; ++i) {
+      std::string program = "p" + std::to_string(i);
+      if (mLogs.For(program).Partition() == aPartition) {
+        return program;
+      }
+    }
+  }
+
+  // A gateway that has read all records appended a turn.
+  void AppendTurn(uint32_t aPartition, const std::string& aAttempt, const std::string& aPrevious)
+  {
+    const programs::TurnCompleted turn{ aAttempt, ProgramIn(aPartition), aPrevious, 0,
+                                        "r",      base::Millis(60000),   0,         5 };
+    mStore.mStreams[{ StreamName::Programs, aPartition }].push_back(
+      programs::EncodeRecord({ base::Millis(1), { turn } }));
+  }
+};
+
+// Guards against programs that no gateway serves until all have read everything, after a loss of
+// all gateways: each loads one partition after the other, and starts with its own.
+BOOST_FIXTURE_TEST_CASE(ProgramLogsServeAPartitionBeforeTheOthersAreLoaded, ProgramLogsFixture)
+{
+  mStore.mLatency = base::Millis(40);
+  Spawn(mLogs.Run());
+  RunUntil([&] { return mLogs.For(ProgramIn(kFirst)).Loaded(); });
+  BOOST_TEST(!mLogs.For(ProgramIn(kFirst + 1)).Loaded());
+  BOOST_TEST(!mLogs.Loaded());
+  RunUntil([&] { return mLogs.Loaded(); });
+}
+
+// Guards against a false "no such turn" for a program that continues a turn of another one, whose
+// records are in another partition.
+BOOST_FIXTURE_TEST_CASE(ProgramLogsCatchUpFindsAChainOverPartitions, ProgramLogsFixture)
+{
+  Spawn(mLogs.Run());
+  RunUntil([&] { return mLogs.Loaded(); });
+  mStore.mLatency = base::Millis(30);
+  AppendTurn(0, "t1", "");
+  AppendTurn(1, "t2", "t1");
+  bool found = false;
+  const auto catchUp =
+    [](ProgramLogs& aLogs, std::string aProgram, bool& aFound) -> boost::asio::awaitable<void> {
+    co_await aLogs.CatchUpWith(aProgram, "t2", base::Clock::now() + base::Seconds(5));
+    const auto chain = aLogs.Programs().Chain("t2");
+    aFound = chain && chain->size() == 2;
+  };
+  Spawn(catchUp(mLogs, ProgramIn(3), found));
+  RunUntil([&] { return found; });
+}
+
+}
--- a/modules/programs/src/record_codec.cpp
+++ b/modules/programs/src/record_codec.cpp
@@ -33,6 +33,26 @@
   }
 }
 
+// Stores the id of a program as a number if that gives the same text back.
+static void
+PackProgram(const std::string& aId, uint64_t& aOutPacked, std::string& aOutText)
+{
+  uint64_t number = 0;
+  const auto [end, error] =
+    std::from_chars(aId.data(), aId.data() + aId.size(), number, kHexadecimal);
+  if (error == std::errc() && number != 0 && fmt::format("{:x}", number) == aId) {
+    aOutPacked = number;
+  } else {
+    aOutText = aId;
+  }
+}
+
+static std::string
+UnpackProgram(uint64_t aPacked, const std::string& aText)
+{
+  return aPacked == 0 ? aText : fmt::format("{:x}", aPacked);
+}
+
 static std::string
 UnpackId(uint64_t aPacked, const std::string& aText)
 {
@@ -53,7 +73,7 @@
 {
   wire::AttemptReservedT table;
   PackId(aEvent.mAttempt, table.attempt, table.attempt_text);
-  table.program = aEvent.mProgram;
+  PackProgram(aEvent.mProgram, table.program_number, table.program);
   table.budget_tokens = aEvent.mBudgetTokens;
   table.max_tokens = aEvent.mMaxTokens;
   return EventOf(std::move(table));
@@ -64,7 +84,7 @@
 {
   wire::AttemptEndedT table;
   PackId(aEvent.mAttempt, table.attempt, table.attempt_text);
-  table.program = aEvent.mProgram;
+  PackProgram(aEvent.mProgram, table.program_number, table.program);
   table.tokens = aEvent.mTokens;
   return EventOf(std::move(table));
 }
@@ -74,7 +94,7 @@
 {
   wire::TurnCompletedT table;
   PackId(aEvent.mAttempt, table.attempt, table.attempt_text);
-  table.program = aEvent.mProgram;
+  PackProgram(aEvent.mProgram, table.program_number, table.program);
   PackId(aEvent.mPrevious, table.previous, table.previous_text);
   table.tokens = aEvent.mTokens;
   table.replica = aEvent.mReplica;
@@ -99,18 +119,18 @@
 {
   if (const auto* reserved = aEvent.AsAttemptReserved()) {
     return AttemptReserved{ UnpackId(reserved->attempt, reserved->attempt_text),
-                            reserved->program,
+                            UnpackProgram(reserved->program_number, reserved->program),
                             reserved->budget_tokens,
                             reserved->max_tokens };
   }
   if (const auto* ended = aEvent.AsAttemptEnded()) {
     return AttemptEnded{ UnpackId(ended->attempt, ended->attempt_text),
-                         ended->program,
+                         UnpackProgram(ended->program_number, ended->program),
                          ended->tokens };
   }
   if (const auto* turn = aEvent.AsTurnCompleted()) {
     return TurnCompleted{ UnpackId(turn->attempt, turn->attempt_text),
-                          turn->program,
+                          UnpackProgram(turn->program_number, turn->program),
                           UnpackId(turn->previous, turn->previous_text),
                           turn->tokens,
                           turn->replica,
--- a/modules/programs/tests/record_codec_test.cpp
+++ b/modules/programs/tests/record_codec_test.cpp
@@ -27,6 +27,28 @@
   }
 }
 
+// Guards against programs that are mixed up because their ids are packed: only ids that come back
+// letter for letter are stored as a number.
+BOOST_AUTO_TEST_CASE(RecordKeepsTheIdsOfProgramsLetterForLetter)
+{
+  for (const std::string program : { "3fa81c",
+                                     "f0a212eea0155",
+                                     "ffffffffffffffff",
+                                     "03fa81c",
+                                     "3FA81C",
+                                     "0",
+                                     "",
+                                     "10000000000000000",
+                                     "3fa81c-1" }) {
+    const ProgramRecord record{ base::Millis(1),
+                                { AttemptReserved{ "a", program, 2304, 288 },
+                                  AttemptEnded{ "a", program, 16 },
+                                  TurnCompleted{
+                                    "b", program, "", 24, "r", base::Millis(1), 1, 7, 5 } } };
+    BOOST_TEST((DecodeRecord(EncodeRecord(record)) == record), program);
+  }
+}
+
 // Guards against events that are lost or change their order when several records become one: the
 // order decides which reservations are granted.
 BOOST_AUTO_TEST_CASE(RecordsThatAreJoinedKeepAllEventsInOrder)
