Split routing by prompt parts out of the dispatcher; one settlement of blocks; log dropped records

- What replicas are assumed to keep was decided inside the dispatcher, which needs a network to run.
The hash of a replica's id is kept with its state instead of computed for each replica and call.
- Three loops settled blocks without turns; TakeUnused serves all.
HasBlock ignored the age that TryDraw checks; both use BlockWith.
- A deferred record that could not be appended until its deadline was dropped without a line, although docs/OPERATIONS.md promised one for blocks.
- ReplicaList applies the mark of a leaving replica when an entry is written, not at each choice.

--- a/modules/gateway/include/sycamore/gateway/log_store.h
+++ b/modules/gateway/include/sycamore/gateway/log_store.h
@@ -28,7 +28,8 @@
 // streams have one partition.
 struct StreamId
 {
-  constexpr StreamId(StreamName aName, uint32_t aPartition = 0) // NOLINT: a name alone is its first
+  // Implicit: a name alone stands for its first partition. NOLINTNEXTLINE
+  constexpr StreamId(StreamName aName, uint32_t aPartition = 0)
     : mName(aName)
     , mPartition(aPartition)
   {
--- a/modules/gateway/include/sycamore/gateway/replica_choice.h
+++ b/modules/gateway/include/sycamore/gateway/replica_choice.h
@@ -22,6 +22,7 @@
   uint32_t mSentSinceReport = 0;   // Calls that this process sent after mLoad arrived.
   std::string_view mRegion;        // Of its failure domain; empty if unknown.
   bool mSameRegion = true;         // As this process.
+  uint64_t mIdHash = 0;            // Of its id; the same at all gateways.
   uint64_t mKeptTokens = 0;        // Of the prompt, which its cache is assumed to hold.
   uint32_t mRecentFailures = 0;    // Consecutive failures of this process's calls.
   base::Millis mSinceFailure{ 0 }; // Since the last of them.
--- a/modules/gateway/include/sycamore/gateway/replica_list.h
+++ b/modules/gateway/include/sycamore/gateway/replica_list.h
@@ -59,6 +59,8 @@
     base::TimePoint mNotedAt;
   };
 
+  // Enters aReplica, as leaving if it said so.
+  void List(const std::string& aId, Replica aReplica);
   void Remove(const std::string& aId, base::TimePoint aNow);
   bool SaidThatItLeaves(const Replica& aReplica) const;
 
--- a/modules/gateway/src/call.h
+++ b/modules/gateway/src/call.h
@@ -23,6 +23,15 @@
   base::TimePoint mArrived;
   base::TimePoint mDeadline; // The caller's, or the route's timeout if that is earlier.
   CallTrace mTrace;
+
+  // The engine of the service; null if it has none, or the table does not describe it.
+  const EngineProfile* Engine() const
+  {
+    return mService != nullptr && mService->mEngine ? &*mService->mEngine : nullptr;
+  }
+
+  // The memory of that engine; 0 if unknown.
+  uint64_t CacheTokens() const { return Engine() != nullptr ? Engine()->mCacheTokens : 0; }
 };
 
 }
--- a/modules/gateway/src/dispatcher.cpp
+++ b/modules/gateway/src/dispatcher.cpp
@@ -1,9 +1,8 @@
 #include "dispatcher.h"
 
 #include "elapsed.h"
-
+#include "prompt_affinity.h"
 #include "sycamore/base/log.h"
-#include "sycamore/base/random.h"
 #include "sycamore/gateway/replica_choice.h"
 
 #include <algorithm>
@@ -33,70 +32,6 @@
 
 }
 
-namespace {
-
-// A replica that a call may go to.
-struct Candidate
-{
-  ReplicaStatePtr mState;
-  uint64_t mIdHash = 0;
-};
-
-}
-
-// Assumes which replicas keep the first part of the prompt. Of the replicas that this process knows
-// nothing about, those with the highest hash for the part are assumed to: all gateways agree on
-// them.
-static void
-AssumeSharedParts(Context& aContext,
-                  const Call& aCall,
-                  const std::vector<Candidate>& aCandidates,
-                  std::vector<ReplicaView>& aViews)
-{
-  const PromptPart& first = aCall.mHead.mPrompt.front();
-  const bool hasEngine = aCall.mService != nullptr && aCall.mService->mEngine;
-  const uint64_t capacity = hasEngine ? aCall.mService->mEngine->mCacheTokens : 0;
-  const double share = aContext.mSharedPrompts.KeptShare(capacity);
-  constexpr double kHashRange = 18446744073709551616.0; // 2^64
-  for (size_t i = 0; i < aViews.size(); ++i) {
-    const uint64_t rank = base::MixHash(first.mId, aCandidates[i].mIdHash);
-    if (static_cast<double>(rank) < share * kHashRange) {
-      aViews[i].mKeptTokens = std::max(aViews[i].mKeptTokens, first.mTokens);
-    }
-  }
-}
-
-// Assumes that the replica which the session of aCall belongs to by its hash keeps half of the
-// session's history, unless one is known to keep some. A line of turns that comes in through
-// several gateways therefore stays at one replica.
-static void
-AssumeHome(const Call& aCall,
-           const std::vector<Candidate>& aCandidates,
-           std::vector<ReplicaView>& aViews)
-{
-  const std::vector<PromptPart>& parts = aCall.mHead.mPrompt;
-  if (aCall.mHead.mSession.empty()) {
-    return;
-  }
-  const uint64_t session = base::StableHash(aCall.mHead.mSession);
-  const uint64_t total = TotalTokens(parts);
-  const uint64_t before = total - parts.back().mTokens; // Tokens of the parts before the session's.
-  std::optional<std::pair<uint64_t, size_t>> home;      // With its rank.
-  for (size_t i = 0; i < aViews.size(); ++i) {
-    if (aViews[i].mKeptTokens > before) {
-      return;
-    }
-    const std::pair candidate(base::MixHash(session, aCandidates[i].mIdHash), i);
-    if (aViews[i].mSameRegion && (!home || candidate > *home)) {
-      home = candidate;
-    }
-  }
-  if (home && aViews[home->second].mKeptTokens >= parts.front().mTokens) {
-    uint64_t& kept = aViews[home->second].mKeptTokens;
-    kept = std::max(kept, (parts.front().mTokens + total) / 2);
-  }
-}
-
 static ChosenReplica
 Choose(Context& aContext,
        const Call& aCall,
@@ -104,36 +39,35 @@
        const std::set<std::string>& aTried)
 {
   const base::TimePoint now = base::Clock::now();
-  std::vector<Candidate> candidates;
+  const std::vector<PromptPart>& prompt = aCall.mHead.mPrompt;
+  std::vector<ReplicaStatePtr> states;
   std::vector<ReplicaView> views;
   for (const Replica* replica : aContext.mReplicas.Usable(aCall.mServiceName, now)) {
     if (aTried.contains(replica->mId)) {
       continue;
     }
-    ReplicaStatePtr state = aContext.mPool.StateOf(*replica);
-    ReplicaView view = ViewOf(*state, now);
+    states.push_back(aContext.mPool.StateOf(*replica));
+    ReplicaView view = ViewOf(*states.back(), now);
     view.mRegion = aContext.RegionOf(replica->mDomain);
     view.mSameRegion = view.mRegion == aContext.mRegion;
     view.mKeptTokens = replica->mId == aHint.mPrefixReplica
                          ? aHint.mPromptTokens
-                         : state->mPrompts.KeptTokens(aCall.mHead.mPrompt);
+                         : states.back()->mPrompts.KeptTokens(prompt);
     views.push_back(view);
-    candidates.push_back({ std::move(state), base::StableHash(replica->mId) });
   }
-  if (!aCall.mHead.mPrompt.empty()) {
-    aContext.mSharedPrompts.Note(aCall.mHead.mPrompt.front(), now);
-    AssumeSharedParts(aContext, aCall, candidates, views);
-    if (aHint.mPrefixReplica.empty()) {
-      AssumeHome(aCall, candidates, views);
-    }
+  if (!prompt.empty()) {
+    aContext.mSharedPrompts.Note(prompt.front(), now);
+    const bool replicaKnown = !aHint.mPrefixReplica.empty();
+    const PromptAffinity affinity{ prompt,
+                                   replicaKnown ? std::string_view() : aCall.mHead.mSession,
+                                   aContext.mSharedPrompts.KeptShare(aCall.CacheTokens()) };
+    AssumeKeptTokens(affinity, views);
   }
   const auto choice = ChooseReplica(views, aHint.mPromptTokens, aContext.mTieBreak++);
   if (!choice) {
     return {};
   }
-  return { std::move(candidates[choice->mIndex].mState),
-           choice->mAssumedLoad,
-           views[choice->mIndex].mKeptTokens };
+  return { states[choice->mIndex], choice->mAssumedLoad, views[choice->mIndex].mKeptTokens };
 }
 
 // The request to aReplica, without hop-by-hop headers.
@@ -251,9 +185,7 @@
   if (aStatus != ExchangeStatus::Streamed || aCall.mHead.mPrompt.empty()) {
     return;
   }
-  const bool hasEngine = aCall.mService != nullptr && aCall.mService->mEngine;
-  aChosen.mState->mPrompts.Note(aCall.mHead.mPrompt,
-                                hasEngine ? aCall.mService->mEngine->mCacheTokens : 0);
+  aChosen.mState->mPrompts.Note(aCall.mHead.mPrompt, aCall.CacheTokens());
 }
 
 boost::asio::awaitable<DispatchResult>
--- a/modules/gateway/src/program_budgets.cpp
+++ b/modules/gateway/src/program_budgets.cpp
@@ -56,20 +56,27 @@
 {
 }
 
-std::optional<ProgramBudgets::Draw>
-ProgramBudgets::TryDraw(Program& aProgram, uint64_t aTokens)
+std::shared_ptr<ProgramBudgets::Block>
+ProgramBudgets::BlockWith(const Program& aProgram, uint64_t aTokens)
 {
   if (aProgram.mBlocks.empty()) {
-    return std::nullopt;
+    return nullptr;
   }
   const std::shared_ptr<Block>& block = aProgram.mBlocks.back();
-  const base::TimePoint now = base::Clock::now();
-  if (block->Available() < aTokens || now - block->mGrantedAt > kMaxBlockAge) {
+  const bool tooOld = base::Clock::now() - block->mGrantedAt > kMaxBlockAge;
+  return tooOld || block->Available() < aTokens ? nullptr : block;
+}
+
+std::optional<ProgramBudgets::Draw>
+ProgramBudgets::TryDraw(Program& aProgram, uint64_t aTokens)
+{
+  const std::shared_ptr<Block> block = BlockWith(aProgram, aTokens);
+  if (!block) {
     return std::nullopt;
   }
   block->mDrawn += aTokens;
   ++block->mTurns;
-  block->mLastUsed = now;
+  block->mLastUsed = base::Clock::now();
   return Draw(block, aTokens);
 }
 
@@ -77,8 +84,7 @@
 ProgramBudgets::HasBlock(const BudgetRequest& aRequest) const
 {
   const auto program = mPrograms.find(aRequest.mProgram);
-  return program != mPrograms.end() && !program->second->mBlocks.empty() &&
-         program->second->mBlocks.back()->Available() >= aRequest.mMaxTokens;
+  return program != mPrograms.end() && BlockWith(*program->second, aRequest.mMaxTokens);
 }
 
 boost::asio::awaitable<ProgramBudgets::Outcome>
@@ -194,7 +200,7 @@
   }
   if (error) {
     // The record may be applied later, and nobody would use its tokens.
-    SettleBlock(*block);
+    SettleDeferred(*block);
     co_return error;
   }
   if (mLogs.Programs().ReservationOf(block->mProgram, block->mId) == Reservation::Granted) {
@@ -205,39 +211,53 @@
   co_return std::nullopt;
 }
 
-static boost::asio::awaitable<void>
-AppendSettlement(ProgramLog& aLog, programs::AttemptEnded aEvent, base::TimePoint aDeadline)
+static programs::AttemptEnded
+SettlementOf(const ProgramBudgets::Block& aBlock)
+{
+  return { aBlock.mId, aBlock.mProgram, aBlock.mSent };
+}
+
+boost::asio::awaitable<void>
+ProgramBudgets::AppendSettlement(std::shared_ptr<Block> aBlock, base::TimePoint aDeadline)
 {
-  const std::string block = aEvent.mAttempt;
-  const auto appended = co_await aLog.Append(std::move(aEvent), aDeadline);
+  const auto appended =
+    co_await mLogs.For(aBlock->mProgram).Append(SettlementOf(*aBlock), aDeadline);
   if (!base::IsOk(appended)) {
     base::Log(base::LogEvent::LogAppendFailed,
               "block={} counts as spent until the program expires: {}",
-              block,
+              aBlock->mId,
               base::ErrorOf(appended).mMessage);
   }
 }
 
 void
-ProgramBudgets::SettleBlock(const Block& aBlock)
+ProgramBudgets::SettleDeferred(const Block& aBlock)
 {
   mLogs.For(aBlock.mProgram)
-    .AppendDeferred(programs::AttemptEnded{ aBlock.mId, aBlock.mProgram, aBlock.mSent },
-                    base::Clock::now() + kSettlementTimeout);
+    .AppendDeferred(SettlementOf(aBlock), base::Clock::now() + kSettlementTimeout);
 }
 
-uint64_t
-ProgramBudgets::SettleUnused(Program& aProgram)
+std::vector<std::shared_ptr<ProgramBudgets::Block>>
+ProgramBudgets::TakeUnused(Program& aProgram)
 {
-  uint64_t returned = 0;
+  std::vector<std::shared_ptr<Block>> unused;
   std::erase_if(aProgram.mBlocks, [&](const std::shared_ptr<Block>& aBlock) {
-    if (aBlock->mTurns > 0) {
-      return false;
+    if (aBlock->mTurns == 0) {
+      unused.push_back(aBlock);
     }
-    SettleBlock(*aBlock);
-    returned += aBlock->Available();
-    return true;
+    return aBlock->mTurns == 0;
   });
+  return unused;
+}
+
+uint64_t
+ProgramBudgets::SettleUnused(Program& aProgram)
+{
+  uint64_t returned = 0;
+  for (const std::shared_ptr<Block>& block : TakeUnused(aProgram)) {
+    SettleDeferred(*block);
+    returned += block->Available();
+  }
   return returned;
 }
 
@@ -255,17 +275,9 @@
       continue;
     }
     // Not deferred: a turn waits for it.
-    std::erase_if(program->mBlocks, [&](const std::shared_ptr<Block>& aBlock) {
-      if (aBlock->mTurns > 0) {
-        return false;
-      }
-      boost::asio::co_spawn(mExecutor,
-                            AppendSettlement(mLogs.For(aBlock->mProgram),
-                                             { aBlock->mId, aBlock->mProgram, aBlock->mSent },
-                                             limit),
-                            LogFailure{});
-      return true;
-    });
+    for (const std::shared_ptr<Block>& block : TakeUnused(*program)) {
+      boost::asio::co_spawn(mExecutor, AppendSettlement(block, limit), LogFailure{});
+    }
   }
 }
 
@@ -302,14 +314,9 @@
 {
   TaskGroup appends(mExecutor);
   for (const auto& [name, program] : mPrograms) {
-    std::erase_if(program->mBlocks, [&](const std::shared_ptr<Block>& aBlock) {
-      if (aBlock->mTurns > 0) {
-        return false;
-      }
-      appends.Spawn(AppendSettlement(
-        mLogs.For(aBlock->mProgram), { aBlock->mId, aBlock->mProgram, aBlock->mSent }, aDeadline));
-      return true;
-    });
+    for (const std::shared_ptr<Block>& block : TakeUnused(*program)) {
+      appends.Spawn(AppendSettlement(block, aDeadline));
+    }
   }
   co_await appends.Wait();
 }
--- a/modules/gateway/src/program_budgets.h
+++ b/modules/gateway/src/program_budgets.h
@@ -37,9 +37,23 @@
 // idle block is settled soon, since another gateway may need the rest. Lives on one event loop.
 class ProgramBudgets
 {
-  struct Block;
-
 public:
+  // A reservation of this gateway.
+  struct Block
+  {
+    std::string mId;
+    std::string mProgram;
+    uint64_t mTokens = 0; // Reserved.
+    uint64_t mDrawn = 0;  // Maximum of the turns in progress.
+    uint64_t mSent = 0;   // Tokens of the turns that ended.
+    uint32_t mTurns = 0;  // In progress.
+    base::TimePoint mGrantedAt;
+    base::TimePoint mLastUsed;
+
+    // 0 also if a replica has generated more than it was asked for, so that mSent exceeds mTokens.
+    uint64_t Available() const { return mTokens - std::min(mTokens, mDrawn + mSent); }
+  };
+
   // The share of a block that one turn has drawn.
   class Draw
   {
@@ -91,22 +105,6 @@
   size_t ProgramCount() const { return mPrograms.size(); }
 
 private:
-  // A reservation of this gateway.
-  struct Block
-  {
-    std::string mId;
-    std::string mProgram;
-    uint64_t mTokens = 0; // Reserved.
-    uint64_t mDrawn = 0;  // Maximum of the turns in progress.
-    uint64_t mSent = 0;   // Tokens of the turns that ended.
-    uint32_t mTurns = 0;  // In progress.
-    base::TimePoint mGrantedAt;
-    base::TimePoint mLastUsed;
-
-    // 0 also if a replica has generated more than it was asked for, so that mSent exceeds mTokens.
-    uint64_t Available() const { return mTokens - std::min(mTokens, mDrawn + mSent); }
-  };
-
   struct Program
   {
     explicit Program(const boost::asio::any_io_executor& aExecutor)
@@ -134,8 +132,15 @@
   uint64_t BlockSize(const BudgetRequest& aRequest,
                      const Program& aProgram,
                      uint64_t aReturnedTokens) const;
+  // The block that aTokens can be drawn from; null if there is none.
+  static std::shared_ptr<Block> BlockWith(const Program& aProgram, uint64_t aTokens);
   static std::optional<Draw> TryDraw(Program& aProgram, uint64_t aTokens);
-  void SettleBlock(const Block& aBlock);
+  // Removes the blocks without turns in progress.
+  static std::vector<std::shared_ptr<Block>> TakeUnused(Program& aProgram);
+  boost::asio::awaitable<void> AppendSettlement(std::shared_ptr<Block> aBlock,
+                                                base::TimePoint aDeadline);
+  // Appends the settlement with the next batch, or a moment later.
+  void SettleDeferred(const Block& aBlock);
   // Settles the blocks without turns in progress; returns the tokens that were not used.
   uint64_t SettleUnused(Program& aProgram);
   // Returns unused blocks of programs whose turns are refused elsewhere.
--- a/modules/gateway/src/record_writer.cpp
+++ b/modules/gateway/src/record_writer.cpp
@@ -1,5 +1,7 @@
 #include "record_writer.h"
 
+#include "sycamore/base/log.h"
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <iterator>
@@ -58,6 +60,7 @@
 RecordWriter::AppendDeferred(std::string aRecord, base::TimePoint aDeadline)
 {
   mDeferred.push_back(MakePending(std::move(aRecord), aDeadline));
+  mDeferred.back()->mIsAwaited = false;
   if (mDeferred.size() == 1) {
     boost::asio::co_spawn(mExecutor, FlushDeferred(), LogFailure{});
   }
@@ -106,6 +109,12 @@
       if (now < pending->mDeadline) {
         bytes += pending->mRecord.size();
         batch.push_back(std::move(pending));
+      } else if (!pending->mIsAwaited) {
+        base::Log(base::LogEvent::LogAppendFailed,
+                  "stream={} partition={} a deferred record was given up: {}",
+                  static_cast<int>(mStream.mName),
+                  mStream.mPartition,
+                  pending->mFailure);
       }
     }
   }
--- a/modules/gateway/src/record_writer.h
+++ b/modules/gateway/src/record_writer.h
@@ -41,7 +41,7 @@
                                                         base::TimePoint aDeadline);
 
   // Appends aRecord with the next batch, or after a short time in a batch of its own. Gives up at
-  // aDeadline; the result is not reported.
+  // aDeadline, which is logged: no caller sees the result.
   void AppendDeferred(std::string aRecord, base::TimePoint aDeadline);
 
 private:
@@ -55,6 +55,7 @@
 
     std::string mRecord;
     base::TimePoint mDeadline;
+    bool mIsAwaited = true; // By a caller of Append, which gets the result.
     bool mDone = false;
     bool mMayBeAppended = false;
     uint64_t mOffset = 0;
--- a/modules/gateway/src/replica_list.cpp
+++ b/modules/gateway/src/replica_list.cpp
@@ -19,7 +19,14 @@
     Remove(aId, aNow);
     return;
   }
-  mEntries[aId] = { std::move(*aReplica), std::nullopt };
+  List(aId, std::move(*aReplica));
+}
+
+void
+ReplicaList::List(const std::string& aId, Replica aReplica)
+{
+  aReplica.mLeaving = aReplica.mLeaving || SaidThatItLeaves(aReplica);
+  mEntries[aId] = { std::move(aReplica), std::nullopt };
 }
 
 bool
@@ -32,6 +39,9 @@
     return aNow - aMark.second.mNotedAt > kLeavingMarkRetention;
   });
   mLeaving[aReplica.mId] = { aReplica.mEndpoint, aReplica.mStartedUnixMs, aNow };
+  if (const auto entry = mEntries.find(aReplica.mId); entry != mEntries.end()) {
+    entry->second.mReplica.mLeaving |= SaidThatItLeaves(entry->second.mReplica);
+  }
   return true;
 }
 
@@ -71,7 +81,7 @@
     Remove(id, aNow);
   }
   for (const auto& [id, replica] : aReplicas) {
-    mEntries[id] = { replica, std::nullopt };
+    List(id, replica);
   }
 }
 
@@ -81,8 +91,7 @@
   std::vector<const Replica*> usable;
   for (const auto& [id, entry] : mEntries) {
     const bool expired = entry.mUsableUntil && aNow >= *entry.mUsableUntil;
-    const bool leaving = entry.mReplica.mLeaving || SaidThatItLeaves(entry.mReplica);
-    if (entry.mReplica.mService == aService && !leaving && !expired) {
+    if (entry.mReplica.mService == aService && !entry.mReplica.mLeaving && !expired) {
       usable.push_back(&entry.mReplica);
     }
   }
--- a/modules/gateway/src/replica_pool.cpp
+++ b/modules/gateway/src/replica_pool.cpp
@@ -2,6 +2,7 @@
 
 #include "async.h"
 #include "sycamore/base/log.h"
+#include "sycamore/base/random.h"
 
 #include <algorithm>
 #include <boost/asio/connect.hpp>
@@ -30,6 +31,7 @@
                                state->mReplica.mEndpoint == aReplica.mEndpoint;
   if (!sameIncarnation) {
     state = std::make_shared<ReplicaState>();
+    state->mIdHash = base::StableHash(aReplica.mId);
   }
   state->mReplica = aReplica;
   return state;
@@ -96,6 +98,7 @@
 {
   ReplicaView view;
   view.mSlots = aState.mReplica.mSlots;
+  view.mIdHash = aState.mIdHash;
   view.mInFlight = aState.mInFlight;
   view.mLoad = aState.mLoad;
   view.mLoadAge = std::chrono::duration_cast<Millis>(aNow - aState.mLoadAt);
--- a/modules/gateway/src/replica_pool.h
+++ b/modules/gateway/src/replica_pool.h
@@ -23,6 +23,7 @@
 struct ReplicaState
 {
   Replica mReplica;
+  uint64_t mIdHash = 0; // Of mReplica.mId.
   uint32_t mInFlight = 0;
   std::optional<ReportedLoad> mLoad;
   base::TimePoint mLoadAt;
--- a/modules/gateway/src/turn_output.cpp
+++ b/modules/gateway/src/turn_output.cpp
@@ -1,7 +1,8 @@
 #include "turn_output.h"
 
+#include "sycamore/base/parse_number.h"
+
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace sycamore::gateway {
@@ -17,15 +18,6 @@
   return std::max(afterLf, afterCrlf);
 }
 
-static std::optional<uint64_t>
-ToNumber(std::string_view aText)
-{
-  uint64_t number = 0;
-  const auto [end, error] = std::from_chars(aText.data(), aText.data() + aText.size(), number);
-  const bool valid = error == std::errc() && end == aText.data() + aText.size();
-  return valid ? std::optional<uint64_t>(number) : std::nullopt;
-}
-
 TurnOutput::TurnOutput(const HeaderCodec& aHeaderCodec, Keep aKeep)
   : mHeaderCodec(aHeaderCodec)
   , mKeep(aKeep)
@@ -59,7 +51,7 @@
     mHistory += aEvent.mData;
     mHistory += '\n';
   }
-  const std::optional<uint64_t> last = std::exchange(mLastId, ToNumber(aEvent.mId));
+  const std::optional<uint64_t> last = std::exchange(mLastId, base::ParseNumber(aEvent.mId));
   if (!last) {
     return;
   }
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -154,7 +154,7 @@
 TurnRunner::MakePrompt()
 {
   if (!KeepsHistory()) {
-    mPrompt = mCall.mRequest.body();
+    mPrompt = std::move(mCall.mRequest.body());
     co_return std::nullopt;
   }
   const auto limit = std::min(mCall.mDeadline, base::Clock::now() + kLogTimeout);
@@ -327,8 +327,7 @@
 uint64_t
 TurnRunner::TokensSent() const
 {
-  const bool hasEngine = mCall.mService != nullptr && mCall.mService->mEngine;
-  const uint64_t perEvent = hasEngine ? mCall.mService->mEngine->mTokensPerEvent : 1;
+  const uint64_t perEvent = mCall.Engine() != nullptr ? mCall.Engine()->mTokensPerEvent : 1;
   return mHeaderSent ? mOutput.EventCount() * perEvent : 0;
 }
 
--- a/modules/gateway/tests/decisions_test.cpp
+++ b/modules/gateway/tests/decisions_test.cpp
@@ -213,6 +213,27 @@
   BOOST_TEST(mList.Usable("s", mNow + base::Seconds(60)).size() == 1U);
 }
 
+// Guards against new calls at a replica that said in an answer that it leaves: the platform may
+// list it as ready, drop it and list it again. A new incarnation under the same id is another
+// replica.
+BOOST_FIXTURE_TEST_CASE(ReplicaListReplicaThatSaidItLeavesStaysUnusable, ReplicaListFixture)
+{
+  const Replica replica = MakeReplica(false);
+  mList.Update(replica.mId, replica, mNow);
+  BOOST_TEST(mList.NoteLeaving(replica, mNow));
+  BOOST_TEST(!mList.NoteLeaving(replica, mNow));
+  BOOST_TEST(mList.Usable("s", mNow).empty());
+  mList.Update(replica.mId, std::nullopt, mNow);
+  mList.Update(replica.mId, replica, mNow);
+  BOOST_TEST(mList.Usable("s", mNow).empty());
+  mList.Replace({ { replica.mId, replica } }, mNow);
+  BOOST_TEST(mList.Usable("s", mNow).empty());
+  Replica next = replica;
+  next.mStartedUnixMs = replica.mStartedUnixMs + 1;
+  mList.Update(replica.mId, next, mNow);
+  BOOST_TEST(mList.Usable("s", mNow).size() == 1U);
+}
+
 // Guards against partial events that reach the caller, and against a history that differs from the
 // data of the events.
 BOOST_AUTO_TEST_CASE(TurnOutputBytesInPiecesGiveWholeEvents)
--- a/modules/programs/src/record_codec.cpp
+++ b/modules/programs/src/record_codec.cpp
@@ -1,5 +1,6 @@
 #include "sycamore/programs/record_codec.h"
 
+#include "sycamore/base/parse_number.h"
 #include "sycamore/wire/program_record_generated.h"
 #include "sycamore/wire/table_codec.h"
 
@@ -37,10 +38,8 @@
 static void
 PackProgram(const std::string& aId, uint64_t& aOutPacked, std::string& aOutText)
 {
-  uint64_t number = 0;
-  const auto [end, error] =
-    std::from_chars(aId.data(), aId.data() + aId.size(), number, kHexadecimal);
-  if (error == std::errc() && number != 0 && fmt::format("{:x}", number) == aId) {
+  const uint64_t number = base::ParseNumber(aId, kHexadecimal).value_or(0);
+  if (number != 0 && fmt::format("{:x}", number) == aId) {
     aOutPacked = number;
   } else {
     aOutText = aId;
