Let no turn follow in a block that another gateway needs

Cause: when a reservation is refused, gateways return blocks without turns. A block whose turns overlap, as those of sub-agents, is never without one, so it stayed and the other turn was refused although the block held more than its turns used.

--- a/modules/gateway/src/program_budgets.cpp
+++ b/modules/gateway/src/program_budgets.cpp
@@ -64,7 +64,9 @@
   }
   const std::shared_ptr<Block>& block = aProgram.mBlocks.back();
   const bool tooOld = base::Clock::now() - block->mGrantedAt > kMaxBlockAge;
-  return tooOld || block->Available() < aTokens ? nullptr : block;
+  // A larger block is returned when its turns end, so that none may follow them.
+  const bool toReturn = aProgram.mContended && block->mTokens > aTokens;
+  return tooOld || toReturn || block->Available() < aTokens ? nullptr : block;
 }
 
 std::optional<ProgramBudgets::Draw>
--- a/modules/gateway/tests/program_budgets_test.cpp
+++ b/modules/gateway/tests/program_budgets_test.cpp
@@ -134,6 +134,50 @@
   BOOST_TEST(mTokensSent["p"] == 480U);
 }
 
+// Load pattern: sub-agents of a program overlap at one gateway, so that its block is never unused.
+// Guards against a turn at another gateway that is refused although the block holds more than those
+// turns use.
+BOOST_FIXTURE_TEST_CASE(ProgramBudgetsBlockOfOverlappingTurnsIsReturnedWhenAnotherTurnNeedsIt,
+                        ProgramBudgetsFixture)
+{
+  constexpr uint64_t kBudget = 900;
+  AddProcesses(2);
+  const auto overlap = [](ProgramBudgetsFixture& aFixture) -> boost::asio::awaitable<void> {
+    for (int i = 0; i < 30; ++i) {
+      aFixture.Spawn(
+        aFixture.Turn(aFixture.mProcesses[0]->mBudgets, kBudget, 0, base::Millis(150)));
+      co_await SleepFor(base::Millis(100));
+    }
+  };
+  Spawn(overlap(*this));
+  RunUntil([&] { return mGranted > 0; });
+  // Takes the rest at another gateway, until less than one turn is left.
+  ProgramLogs& logs = mProcesses[1]->mLogs;
+  int held = 0;
+  while (logs.Programs().FitsBudget("p", kBudget, kTurnTokens)) {
+    Spawn(Turn(mProcesses[1]->mBudgets, kBudget, 0, base::Seconds(4)));
+    const base::TimePoint next = base::Clock::now() + base::Millis(60);
+    RunUntil([&] { return base::Clock::now() >= next; });
+    ++held;
+  }
+  const int refused = mRefused;
+  bool granted = false;
+  const auto turn = [](ProgramBudgets& aBudgets, bool& aGranted) -> boost::asio::awaitable<void> {
+    const BudgetRequest request{ "p", kBudget, kTurnTokens };
+    auto outcome = co_await aBudgets.Acquire(request, base::Clock::now() + base::Seconds(3));
+    if (auto* draw = std::get_if<ProgramBudgets::Draw>(&outcome)) {
+      draw->Settle(0);
+      aGranted = true;
+    }
+  };
+  // More turns than the blocks of the second gateway have left.
+  Spawn(turn(mProcesses[1]->mBudgets, granted));
+  RunUntil([&] { return granted || Ended() == mTurns; });
+  BOOST_TEST(granted);
+  BOOST_TEST(held > 0);
+  BOOST_TEST(mRefused == refused);
+}
+
 // Guards against a refusal that is not certain, and against one that comes late: nothing is left,
 // and no other turn may return anything.
 BOOST_FIXTURE_TEST_CASE(ProgramBudgetsSpentBudgetIsRefusedAtOnce, ProgramBudgetsFixture)
