Make the test of the load order see a load of all partitions at once

Found by removing the wait in ProgramLogs::Run: the test passed without it, since partitions without records were loaded one event apart. Each partition now has more records than three answers hold. It fails without the wait and passes with it.

--- a/modules/gateway/tests/program_logs_test.cpp
+++ b/modules/gateway/tests/program_logs_test.cpp
@@ -42,12 +42,21 @@
 // all gateways: each loads one partition after the other, and starts with its own.
 BOOST_FIXTURE_TEST_CASE(ProgramLogsServeAPartitionBeforeTheOthersAreLoaded, ProgramLogsFixture)
 {
-  mStore.mLatency = base::Millis(40);
+  constexpr int kTurns = 35; // More than three answers of the store hold.
+  for (uint32_t partition = 0; partition < kPartitions; ++partition) {
+    for (int i = 0; i < kTurns; ++i) {
+      AppendTurn(partition, std::to_string(partition) + "-" + std::to_string(i), "");
+    }
+  }
+  mStore.mLatency = base::Millis(10);
   Spawn(mLogs.Run());
   RunUntil([&] { return mLogs.For(ProgramIn(kFirst)).Loaded(); });
-  BOOST_TEST(!mLogs.For(ProgramIn(kFirst + 1)).Loaded());
+  for (const uint32_t other : { 0U, 1U, 3U }) {
+    BOOST_TEST(mLogs.For(ProgramIn(other)).NextOffset() == 0U, other);
+  }
   BOOST_TEST(!mLogs.Loaded());
   RunUntil([&] { return mLogs.Loaded(); });
+  BOOST_TEST(mLogs.AppliedRecords() == uint64_t{ kPartitions * kTurns });
 }
 
 // Guards against a false "no such turn" for a program that continues a turn of another one, whose
