--- a/modules/base/include/sycamore/base/log_event.h
+++ b/modules/base/include/sycamore/base/log_event.h
@@ -32,6 +32,8 @@
   PeerSilent = 202,
   PeerSuperseded = 203,
   PeerProtocolError = 204,
+  AggregatorLost = 205,
+  AggregatorRecovered = 206,
   PartitionClaiming = 300,
   PartitionOwned = 301,
   PartitionLost = 302,
--- a/modules/base/src/log_event.cpp
+++ b/modules/base/src/log_event.cpp
@@ -20,6 +20,8 @@
   { LogEvent::PeerSilent, "peer_silent", LogLevel::Warning },
   { LogEvent::PeerSuperseded, "peer_superseded", LogLevel::Info },
   { LogEvent::PeerProtocolError, "peer_protocol_error", LogLevel::Error },
+  { LogEvent::AggregatorLost, "aggregator_lost", LogLevel::Warning },
+  { LogEvent::AggregatorRecovered, "aggregator_recovered", LogLevel::Info },
   { LogEvent::PartitionClaiming, "partition_claiming", LogLevel::Info },
   { LogEvent::PartitionOwned, "partition_owned", LogLevel::Info },
   { LogEvent::PartitionLost, "partition_lost", LogLevel::Warning },
--- a/modules/gateway/include/sycamore/gateway/log_store.h
+++ b/modules/gateway/include/sycamore/gateway/log_store.h
@@ -49,12 +49,21 @@
   std::optional<std::string> mValue; // Nothing: the key was deleted.
 };
 
+// Where records were appended.
+struct Appended
+{
+  uint64_t mOffset = 0; // Of the first record.
+  bool mJoined = false; // The record at mOffset holds records of other writers too.
+};
+
 // Parameters of a read.
 struct ReadRange
 {
   uint64_t mFrom = 0;
   base::Millis mWait{ 0 };      // Long poll: time to wait for a record if there is none.
   uint32_t mMaxKilobytes = 512; // Of one answer.
+  bool mFresh = false;          // The answer tells the end of the stream after the call began.
+  bool mStoreOnly = false;      // Not from another gateway's copy.
 };
 
 // Consecutive records of a stream.
@@ -63,6 +72,7 @@
   uint64_t mEnd = 0;     // Offset that the next record of the stream will get.
   uint64_t mNext = 0;    // Offset after the last record read; where the next read starts.
   bool mExpired = false; // Records between the start of the read and mNext are no longer kept.
+  bool mShared = false;  // From another gateway's copy, which may be behind the store.
   std::vector<StreamRecord> mRecords;
 };
 
@@ -84,13 +94,13 @@
 
   virtual ~LogStore() = default;
 
-  // Appends aRecords to a stream without keys, all or none; returns the offset of the first.
-  virtual Async<uint64_t> Append(StreamId aStream,
+  // Appends aRecords to a stream without keys, all or none.
+  virtual Async<Appended> Append(StreamId aStream,
                                  std::vector<std::string> aRecords,
                                  base::Millis aTimeout) = 0;
 
-  // Sets the value of a key of a keyed stream; returns the offset of the record.
-  virtual Async<uint64_t> Put(StreamId aStream,
+  // Sets the value of a key of a keyed stream.
+  virtual Async<Appended> Put(StreamId aStream,
                               std::string aKey,
                               std::string aValue,
                               base::Millis aTimeout) = 0;
--- a/modules/gateway/src/context.cpp
+++ b/modules/gateway/src/context.cpp
@@ -18,10 +18,10 @@
 }
 
 uint32_t
-TextPartition(uint32_t aStorePartitions, const std::string& aInstance)
+TextPartition(uint32_t aStorePartitions, const std::string& aDomain)
 {
   const uint32_t partitions = std::max(aStorePartitions / kStorePartitionsPerTextPartition, 1U);
-  return static_cast<uint32_t>(base::StableHash(aInstance) % partitions);
+  return static_cast<uint32_t>(base::StableHash(aDomain) % partitions);
 }
 
 // Readiness fails after this time without the store: this process can complete no turn, but other
--- a/modules/gateway/src/context.h
+++ b/modules/gateway/src/context.h
@@ -28,9 +28,10 @@
 uint32_t
 ProgramPartitions(uint32_t aStorePartitions);
 
-// The partition of the texts' stream that aInstance appends to.
+// The partition of the texts' stream that the gateways of aDomain append to: one of its gateways
+// collects their texts.
 uint32_t
-TextPartition(uint32_t aStorePartitions, const std::string& aInstance);
+TextPartition(uint32_t aStorePartitions, const std::string& aDomain);
 
 // State shared by the components of one gateway on its event loop.
 struct Context
@@ -52,8 +53,12 @@
     , mBudgets(aExecutor, mPrograms, aSettings.mInstance)
     , mTexts(aExecutor,
              aStore,
-             TextPartition(aSettings.mStorePartitions, aSettings.mInstance),
-             aSettings.mHistoryCacheBytes)
+             TextPartition(aSettings.mStorePartitions, aSettings.mDomain),
+             aSettings.mHistoryCacheBytes,
+             [&aStore](uint32_t aWriter, std::string aAttempt) {
+               return aStore.TextFrom(aWriter, std::move(aAttempt));
+             })
+    , mWriterHash(WriterHash(aSettings.mInstance))
   {
   }
 
@@ -83,6 +88,7 @@
   ProgramLogs mPrograms;
   ProgramBudgets mBudgets;
   TurnTexts mTexts;
+  const uint32_t mWriterHash; // Of this instance.
   bool mStopping = false;
   size_t mCallsOpen = 0;
   uint64_t mTieBreak = 0; // Spreads the choices of this process; see ChooseReplica.
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -1,5 +1,6 @@
 #include "sycamore/gateway/gateway.h"
 
+#include "aggregator.h"
 #include "async.h"
 #include "call_runner.h"
 #include "caller_session.h"
@@ -18,6 +19,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <set>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -37,6 +39,10 @@
 // Delay after a failed accept, for example for lack of file descriptors.
 static constexpr Millis kAcceptRetryDelay{ 50 };
 static constexpr int kListenBacklog = 512;
+// Records kept of a partition for gateways that read them here: those of an aggregator serve
+// gateways that load the history, those of others bridge a change of the aggregator.
+static constexpr size_t kAggregatorKeptBytes = size_t{ 6 } << 20;
+static constexpr size_t kKeptBytes = size_t{ 128 } << 10;
 // How often the connections of replicas that are no longer listed are dropped.
 static constexpr base::Seconds kCleanupInterval{ 5 };
 
@@ -46,15 +52,29 @@
   Impl(const settings::Settings& aSettings, GatewayAdapters aAdapters)
     : mSettings(aSettings)
     , mAdapters(std::move(aAdapters))
+    , mOwn{ mSettings.mInstance, mSettings.mPeer, mSettings.mDomain, mSettings.mLinkMbits }
     , mStore(
         mLoop.get_executor(),
-        std::make_unique<MeasuredStore>(mAdapters.mMakeLogStore(mLoop.get_executor()), mMetrics))
+        std::make_unique<MeasuredStore>(mAdapters.mMakeLogStore(mLoop.get_executor()), mMetrics),
+        mOwn)
     , mContext(mLoop.get_executor(), mStore, *mAdapters.mHeaderCodec, mMetrics, mSettings)
+    , mAggregator(mLoop.get_executor(),
+                  mStore.ForAggregator(),
+                  mContext.mPrograms,
+                  [this] { return mContext.mStopping; })
+    , mRelayServices{ mStore.DirectForPeers(),
+                      mAggregator,
+                      [this](const std::string& aAttempt) {
+                        return mContext.mTexts.FindRecord(aAttempt);
+                      } }
     , mCallers(mLoop)
     , mPeers(mLoop)
     , mReadiness(mLoop)
     , mStatus(mLoop)
   {
+    mStore.SetAggregator(mAggregator);
+    mStore.OnMembersChanged([this] { KeepRecordsForOthers(); });
+    KeepRecordsForOthers();
     mContext.mRegion = mSettings.mRegion;
     mContext.mRegionOfDomain = mSettings.mRegionOfDomain;
     mContext.mTieBreak = base::StableHash(mSettings.mInstance);
@@ -82,6 +102,9 @@
   boost::asio::awaitable<void> AnswerReadiness(CallerLink& aLink, CallerRequest aRequest);
   boost::asio::awaitable<void> AnswerStatus(CallerLink& aLink, CallerRequest aRequest);
   boost::asio::awaitable<void> AcceptPeers();
+  // Keeps the records of partitions that other gateways may read here.
+  void KeepRecordsForOthers();
+  boost::asio::awaitable<void> RunPrograms();
   boost::asio::awaitable<void> Cleanup();
   boost::asio::awaitable<void> Drain();
   bool SessionsOpen() const;
@@ -97,8 +120,11 @@
   const GatewayAdapters mAdapters;
   boost::asio::io_context mLoop{ 1 };
   Metrics mMetrics;
+  const Member mOwn;
   StorePaths mStore;
   Context mContext;
+  Aggregator mAggregator;
+  const RelayServices mRelayServices;
   SessionPolicy mPolicy;
   CallHandler mCallHandler;
   CallHandler mReadinessHandler;
@@ -165,12 +191,13 @@
   Spawn(Accept(mReadiness, mReadinessHandler));
   FollowConfiguration();
   FollowReplicas();
-  Spawn(mContext.mPrograms.Run());
+  Spawn(RunPrograms());
   Spawn(mContext.mBudgets.Run());
   Spawn(mContext.mTexts.Run());
   Spawn(Cleanup());
   Spawn(AcceptPeers());
-  Spawn(KeepMembership(mStore, mSettings.mInstance, mSettings.mPeer));
+  Spawn(KeepMembership(mStore, mOwn));
+  Spawn(mStore.Run());
   mThread = std::thread([this] { mLoop.run(); });
   return base::Unit{};
 }
@@ -207,11 +234,36 @@
       co_await SleepFor(kAcceptRetryDelay);
       continue;
     }
-    boost::asio::co_spawn(
-      mLoop, ServeRelay(std::move(socket), mStore.DirectForPeers()), LogFailure{});
+    boost::asio::co_spawn(mLoop, ServeRelay(std::move(socket), mRelayServices), LogFailure{});
   }
 }
 
+void
+Gateway::Impl::KeepRecordsForOthers()
+{
+  for (uint32_t partition = 0; partition < mContext.mPrograms.PartitionCount(); ++partition) {
+    const bool candidate = mStore.IsAggregatorCandidate({ StreamName::Programs, partition });
+    mContext.mPrograms.At(partition).SetKeptBytes(candidate ? kAggregatorKeptBytes : kKeptBytes);
+  }
+}
+
+boost::asio::awaitable<void>
+Gateway::Impl::RunPrograms()
+{
+  // After a restart the history comes from the aggregators, if they can be found.
+  const bool known = co_await ReadMembers(mStore);
+  if (!known) {
+    base::Log(LogEvent::LogReadFailed, "members: the history is loaded without aggregators");
+  }
+  std::set<uint32_t> aggregated;
+  for (uint32_t partition = 0; partition < mContext.mPrograms.PartitionCount(); ++partition) {
+    if (mStore.IsAggregatorCandidate({ StreamName::Programs, partition })) {
+      aggregated.insert(partition);
+    }
+  }
+  co_await mContext.mPrograms.Run(std::move(aggregated));
+}
+
 boost::asio::awaitable<void>
 Gateway::Impl::AnswerReadiness(CallerLink& aLink, CallerRequest aRequest)
 {
--- a/modules/gateway/src/measured_store.cpp
+++ b/modules/gateway/src/measured_store.cpp
@@ -25,7 +25,7 @@
 }
 
 static size_t
-BytesReadBy(uint64_t /* aOffset */)
+BytesReadBy(const Appended& /* aAppended */)
 {
   return 0;
 }
@@ -55,7 +55,7 @@
   co_return result;
 }
 
-LogStore::Async<uint64_t>
+LogStore::Async<Appended>
 MeasuredStore::Append(StreamId aStream, std::vector<std::string> aRecords, Millis aTimeout)
 {
   StoreCall call{ StoreOperation::Append, aStream.mName };
@@ -65,7 +65,7 @@
   return Measure(call, mStore->Append(aStream, std::move(aRecords), aTimeout));
 }
 
-LogStore::Async<uint64_t>
+LogStore::Async<Appended>
 MeasuredStore::Put(StreamId aStream, std::string aKey, std::string aValue, Millis aTimeout)
 {
   StoreCall call{ StoreOperation::Put, aStream.mName };
--- a/modules/gateway/src/measured_store.h
+++ b/modules/gateway/src/measured_store.h
@@ -17,10 +17,10 @@
   // aMetrics outlives the store.
   MeasuredStore(std::unique_ptr<LogStore> aStore, Metrics& aMetrics);
 
-  Async<uint64_t> Append(StreamId aStream,
+  Async<Appended> Append(StreamId aStream,
                          std::vector<std::string> aRecords,
                          base::Millis aTimeout) override;
-  Async<uint64_t> Put(StreamId aStream,
+  Async<Appended> Put(StreamId aStream,
                       std::string aKey,
                       std::string aValue,
                       base::Millis aTimeout) override;
--- a/modules/gateway/src/membership.cpp
+++ b/modules/gateway/src/membership.cpp
@@ -3,8 +3,8 @@
 #include "async.h"
 #include "sycamore/base/log.h"
 
-#include <map>
 #include <utility>
+#include <vector>
 
 namespace sycamore::gateway {
 
@@ -15,16 +15,15 @@
 // The first read waits until the other gateways are listed: instances of a deployment start within
 // 0.3 s of each other.
 static constexpr Millis kInitialReadDelay{ 1000 };
-// Members change rarely, and the list is only needed while this instance cannot reach the store
-// directly.
+// Members change rarely. A new one is not an aggregator for others before they read the list.
 static constexpr base::Seconds kReadInterval{ 12 };
 
 static boost::asio::awaitable<void>
-Announce(StorePaths& aStore, const std::string& aInstance, const http::Endpoint& aPeer)
+Announce(StorePaths& aStore, const Member& aOwn)
 {
-  const std::string address = ToString(aPeer);
+  const std::string value = EncodeMember(aOwn);
   for (;;) {
-    const auto put = co_await aStore.Put(StreamName::Members, aInstance, address, kCallTimeout);
+    const auto put = co_await aStore.Put(StreamName::Members, aOwn.mInstance, value, kCallTimeout);
     if (base::IsOk(put)) {
       co_return;
     }
@@ -33,30 +32,36 @@
 }
 
 static void
-ApplyMembers(const StreamSnapshot& aSnapshot, const std::string& aOwn, StorePaths& aStore)
+ApplyMembers(const StreamSnapshot& aSnapshot, StorePaths& aStore)
 {
-  std::map<std::string, http::Endpoint> peers;
+  std::vector<Member> members;
   for (const StreamRecord& record : aSnapshot.mRecords) {
-    const auto endpoint = record.mValue ? http::ParseEndpoint(*record.mValue)
-                                        : base::Result<http::Endpoint>(base::Error{});
-    if (record.mKey != aOwn && base::IsOk(endpoint)) {
-      peers.emplace(record.mKey, base::ValueOf(endpoint));
+    auto member = record.mValue ? DecodeMember(record.mKey, *record.mValue) : std::nullopt;
+    if (member) {
+      members.push_back(std::move(*member));
     }
   }
-  aStore.SetPeers(peers);
+  aStore.SetMembers(members);
+}
+
+boost::asio::awaitable<bool>
+ReadMembers(StorePaths& aStore)
+{
+  const auto members = co_await aStore.Newest(StreamName::Members, kCallTimeout);
+  if (base::IsOk(members)) {
+    ApplyMembers(base::ValueOf(members), aStore);
+  }
+  co_return base::IsOk(members);
 }
 
 boost::asio::awaitable<void>
-KeepMembership(StorePaths& aStore, std::string aInstance, http::Endpoint aPeer)
+KeepMembership(StorePaths& aStore, Member aOwn)
 {
-  co_await Announce(aStore, aInstance, aPeer);
+  co_await Announce(aStore, aOwn);
   co_await SleepFor(kInitialReadDelay);
   for (;;) {
-    const auto members = co_await aStore.Newest(StreamName::Members, kCallTimeout);
-    if (base::IsOk(members)) {
-      ApplyMembers(base::ValueOf(members), aInstance, aStore);
-    }
-    co_await SleepFor(base::IsOk(members) ? Millis(kReadInterval) : kRetryDelay);
+    const bool read = co_await ReadMembers(aStore);
+    co_await SleepFor(read ? Millis(kReadInterval) : kRetryDelay);
   }
 }
 
--- a/modules/gateway/src/program_log.cpp
+++ b/modules/gateway/src/program_log.cpp
@@ -20,6 +20,16 @@
 // Interval between reads of a busy stream, so that one call returns several records: each call has
 // a cost. Multiplied by the number of partitions, so that the calls do not grow with it.
 static constexpr Millis kReadInterval{ 40 };
+// The same for an aggregator and for those that read from it, whatever the number of partitions:
+// few gateways read the store, and calls within a failure domain are cheap.
+static constexpr Millis kSharedReadInterval{ 30 };
+// Time after a read by another gateway for which this one is taken as an aggregator.
+static constexpr base::Seconds kShareLease{ 3 };
+static constexpr size_t kKilobyte = 1024;
+// Records are collected for this time before they go to the aggregator, which collects them again.
+static constexpr Millis kBatchDelay{ 3 };
+// The next records need not wait until the aggregator has appended the ones before.
+static constexpr uint32_t kAppendsInFlight = 3;
 static constexpr Millis kRetryDelay{ 150 };
 // Timeout of a page while the history is loaded: a remote region reads about 1 MB/s.
 static constexpr Millis kLoadTimeout{ 4000 };
@@ -28,6 +38,8 @@
 static constexpr size_t kLoadReaders = 8;
 // Number of records above which the load is parallel; fewer fit into one or two pages.
 static constexpr uint64_t kParallelLoadThreshold = 500;
+// Time without a record after which a load from an aggregator goes on at the store.
+static constexpr Millis kLoadStall{ 1000 };
 // Page size of a load; small, since the last page of each segment overlaps the next segment.
 static constexpr uint32_t kLoadPageKilobytes = 128;
 // Timeout of a read that a call waits for. Remote regions take 75 ms.
@@ -58,7 +70,8 @@
       [this](uint64_t aOffset, const std::vector<std::string>& aRecords) {
         ApplyAppended(aOffset, aRecords);
       },
-      programs::JoinRecords)
+      programs::JoinRecords,
+      RecordWriter::Limits{ kBatchDelay, kAppendsInFlight })
 {
 }
 
@@ -74,7 +87,8 @@
 ProgramLog::ReadSegment(StreamSegment& aSegment)
 {
   while (aSegment.mNext < aSegment.mEnd) {
-    const ReadRange range{ aSegment.mNext, Millis(0), kLoadPageKilobytes };
+    ReadRange range{ aSegment.mNext, Millis(0), kLoadPageKilobytes };
+    range.mStoreOnly = true;
     auto page = co_await mStore.Read(mStream, range, kLoadTimeout);
     if (!base::IsOk(page) || base::ValueOf(page).mRecords.empty()) {
       break; // The next round reads the missing records.
@@ -106,16 +120,30 @@
   }
 }
 
+ReadRange
+ProgramLog::NextLoadRange() const
+{
+  ReadRange range{ mNext, Millis(0), kLoadPageKilobytes };
+  // An aggregator that cannot load the history itself must not hold up this process.
+  range.mStoreOnly = IsShared() || Since(mLastProgress) > kLoadStall;
+  if (mLastPageShared && !range.mStoreOnly) {
+    // An aggregator that is still loading has no more yet, or the end that it told may be old.
+    range.mWait = mNext < mEnd ? kReadWait : Millis(0);
+    range.mFresh = mNext >= mEnd;
+  }
+  return range;
+}
+
 boost::asio::awaitable<void>
 ProgramLog::Run()
 {
   const base::TimePoint started = base::Clock::now();
+  mLastProgress = started;
   while (!mLoaded) {
-    const ReadRange range{ mNext, Millis(0), kLoadPageKilobytes };
-    const auto read = co_await ReadOnce(range, kLoadTimeout);
+    const auto read = co_await ReadOnce(NextLoadRange(), kLoadTimeout);
     if (!base::IsOk(read)) {
       co_await SleepFor(kRetryDelay);
-    } else if (!mLoaded && mEnd - mNext > kParallelLoadThreshold) {
+    } else if (!mLoaded && !mLastPageShared && mEnd - mNext > kParallelLoadThreshold) {
       co_await LoadInParallel();
     }
   }
@@ -134,12 +162,14 @@
 {
   for (;;) {
     const uint64_t before = mNext;
-    const ReadRange range{ mNext, kReadWait };
+    ReadRange range{ mNext, kReadWait };
+    range.mStoreOnly = IsShared();
     const auto read = co_await ReadOnce(range, kReadTimeout);
     if (!base::IsOk(read)) {
       co_await SleepFor(kRetryDelay);
     } else if (mNext != before && !mReadWanted) {
-      co_await mWake.WaitUntil(base::Clock::now() + mReadInterval);
+      const bool shared = IsShared() || mLastPageShared;
+      co_await mWake.WaitUntil(base::Clock::now() + (shared ? kSharedReadInterval : mReadInterval));
     }
     mReadWanted = false;
   }
@@ -160,7 +190,17 @@
     co_return base::ErrorOf(page);
   }
   mFailing = false;
-  ApplyPage(base::ValueOf(page));
+  const StreamPage& read = base::ValueOf(page);
+  mLastPageShared = read.mShared;
+  if (read.mNext > mNext || !read.mShared) {
+    mLastProgress = base::Clock::now();
+  }
+  ApplyPage(read);
+  // The end that another gateway tells may be older than this process.
+  if (mNext >= read.mEnd && (!read.mShared || aRange.mFresh)) {
+    mLoaded = true;
+  }
+  mApplied.NotifyAll();
   co_return base::Unit{};
 }
 
@@ -178,12 +218,10 @@
 ProgramLog::ApplyPage(const StreamPage& aPage)
 {
   ApplyRecords(aPage.mRecords);
-  mNext = std::max(mNext, aPage.mNext);
-  mEnd = aPage.mEnd;
-  if (mNext >= aPage.mEnd) {
-    mLoaded = true;
+  if (aPage.mNext > mNext) {
+    DropKept(aPage.mNext); // Records in between are no longer kept by the store.
   }
-  mApplied.NotifyAll();
+  mEnd = std::max(mNext, aPage.mEnd);
 }
 
 void
@@ -197,9 +235,71 @@
               mStream.mPartition,
               aOffset);
   }
+  if (aOffset != mNext) {
+    DropKept(aOffset);
+  }
+  Keep(aBytes);
   mNext = aOffset + 1;
 }
 
+void
+ProgramLog::Keep(const std::string& aBytes)
+{
+  mKept.push_back(aBytes);
+  mKeptBytes += aBytes.size();
+  while (mKeptBytes > mMaxKeptBytes && !mKept.empty()) {
+    mKeptBytes -= mKept.front().size();
+    mKept.pop_front();
+  }
+}
+
+void
+ProgramLog::DropKept(uint64_t aNext)
+{
+  mKept.clear();
+  mKeptBytes = 0;
+  mNext = aNext;
+}
+
+bool
+ProgramLog::IsShared() const
+{
+  return base::Clock::now() < mSharedUntil;
+}
+
+LogStore::Async<StreamPage>
+ProgramLog::ReadShared(ReadRange aRange, base::TimePoint aDeadline)
+{
+  mSharedUntil = base::Clock::now() + kShareLease;
+  if (aRange.mFresh) {
+    const auto caughtUp = co_await CatchUp(aDeadline);
+    if (!base::IsOk(caughtUp)) {
+      co_return base::ErrorOf(caughtUp);
+    }
+  }
+  const base::TimePoint limit = std::min(aDeadline, base::Clock::now() + aRange.mWait);
+  while (mNext <= aRange.mFrom && base::Clock::now() < limit) {
+    co_await mApplied.WaitUntil(limit);
+  }
+  const uint64_t firstKept = mNext - mKept.size();
+  if (aRange.mFrom < firstKept) {
+    co_return base::Error{ base::ErrorKind::LogUnavailable,
+                           "the records are no longer kept by the aggregator",
+                           "" };
+  }
+  StreamPage page;
+  page.mNext = aRange.mFrom;
+  size_t bytes = 0;
+  while (page.mNext < mNext && bytes < aRange.mMaxKilobytes * kKilobyte) {
+    const std::string& record = mKept[page.mNext - firstKept];
+    bytes += record.size();
+    page.mRecords.push_back({ page.mNext++, "", record });
+  }
+  // While the history is loaded here, no reader may believe that it has reached the end.
+  page.mEnd = mLoaded ? std::max(mEnd, mNext) : std::max(mEnd, mNext + 1);
+  co_return page;
+}
+
 boost::asio::awaitable<base::Result<base::Unit>>
 ProgramLog::CatchUp(base::TimePoint aDeadline)
 {
@@ -232,7 +332,9 @@
 {
   std::optional<uint64_t> end; // Of the stream when the first page was read.
   while (!end || mNext < *end) {
-    const ReadRange range{ mNext, Millis(0) };
+    ReadRange range{ mNext, Millis(0) };
+    range.mFresh = true;
+    range.mStoreOnly = IsShared();
     const Millis limit = std::clamp(Until(aDeadline), Millis(1), kCatchUpTimeout);
     const auto read = co_await ReadOnce(range, limit);
     if (!base::IsOk(read)) {
--- a/modules/gateway/src/program_log.h
+++ b/modules/gateway/src/program_log.h
@@ -10,7 +10,10 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <string>
 #include <vector>
 
 namespace sycamore::gateway {
@@ -64,6 +67,18 @@
   // Waits until any record is applied, or until aDeadline.
   boost::asio::awaitable<void> WaitForChange(base::TimePoint aDeadline);
 
+  // Reads from the copy of the newest records that this process keeps, on behalf of another
+  // gateway. From then on, and for some seconds, this process reads the store itself and more
+  // often. Waits for records and reads the store as aRange says, until aDeadline at most.
+  // LogUnavailable if records before the copy are asked for, or if a fresh answer is not possible.
+  LogStore::Async<StreamPage> ReadShared(ReadRange aRange, base::TimePoint aDeadline);
+
+  // Sets how many bytes of records are kept for ReadShared.
+  void SetKeptBytes(size_t aBytes) { mMaxKeptBytes = aBytes; }
+
+  // Applies records that this process has just appended, if they follow those that are applied.
+  void ApplyAppended(uint64_t aOffset, const std::vector<std::string>& aRecords);
+
 private:
   struct StreamSegment;
 
@@ -77,7 +92,12 @@
   boost::asio::awaitable<base::Result<base::Unit>> ReadOnce(ReadRange aRange,
                                                             base::Millis aTimeout);
   boost::asio::awaitable<base::Result<base::Unit>> ReadToEnd(base::TimePoint aDeadline);
-  void ApplyAppended(uint64_t aOffset, const std::vector<std::string>& aRecords);
+  void Keep(const std::string& aBytes);
+  void DropKept(uint64_t aNext);
+  // Whether other gateways read from this process.
+  bool IsShared() const;
+  // What to read next while the history is loaded.
+  ReadRange NextLoadRange() const;
 
   boost::asio::any_io_executor mExecutor;
   LogStore& mStore;
@@ -90,10 +110,16 @@
   uint64_t mCatchUpsStarted = 0;
   uint64_t mCatchUpsEnded = 0;
   uint64_t mLastSuccessfulCatchUp = 0; // 0 if none.
+  std::deque<std::string> mKept;       // The records before mNext, for ReadShared.
+  size_t mKeptBytes = 0;
+  size_t mMaxKeptBytes = 0;
+  base::TimePoint mSharedUntil; // End of the time in which other gateways are expected to read.
   bool mLoaded = false;
   bool mFailing = false;
-  Signal mApplied; // Notified each time mNext advances.
-  Signal mWake;    // Ends the pause before the next read.
+  bool mLastPageShared = false;  // The last page came from another gateway.
+  base::TimePoint mLastProgress; // When a page last brought records, or came from the store.
+  Signal mApplied;               // Notified each time mNext advances.
+  Signal mWake;                  // Ends the pause before the next read.
   bool mReadWanted = false;
   RecordWriter mWriter;
 };
--- a/modules/gateway/src/program_logs.cpp
+++ b/modules/gateway/src/program_logs.cpp
@@ -28,10 +28,16 @@
 }
 
 boost::asio::awaitable<void>
-ProgramLogs::Run()
+ProgramLogs::Run(std::set<uint32_t> aAtOnce)
 {
+  for (const uint32_t partition : aAtOnce) {
+    boost::asio::co_spawn(mExecutor, mLogs[partition]->Run(), LogFailure{});
+  }
   for (size_t i = 0; i < mLogs.size(); ++i) {
     ProgramLog& log = *mLogs[(mFirstLoaded + i) % mLogs.size()];
+    if (aAtOnce.contains(log.Partition())) {
+      continue;
+    }
     boost::asio::co_spawn(mExecutor, log.Run(), LogFailure{});
     while (!log.Loaded()) {
       co_await log.WaitForChange(base::TimePoint::max());
--- a/modules/gateway/src/program_logs.h
+++ b/modules/gateway/src/program_logs.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,10 +28,11 @@
               uint32_t aPartitions,
               uint64_t aFirstLoaded = 0);
 
-  // Loads the history, one partition after the other, and follows each until the event loop ends.
+  // Loads the history and follows each partition until the event loop ends. Those of aAtOnce, which
+  // other gateways may wait for, are loaded first and together; the others one after the other.
   // After a loss of all gateways they share the store's bandwidth: each starts with another
   // partition, so that every program is soon served by some.
-  boost::asio::awaitable<void> Run();
+  boost::asio::awaitable<void> Run(std::set<uint32_t> aAtOnce = {});
 
   const programs::ProgramRegistry& Programs() const { return mPrograms; }
 
@@ -40,6 +42,11 @@
   // The partition of aProgram.
   ProgramLog& For(const std::string& aProgram);
 
+  // Whether there is a partition aPartition; required by At.
+  bool Has(uint32_t aPartition) const { return aPartition < mLogs.size(); }
+  ProgramLog& At(uint32_t aPartition) { return *mLogs[aPartition]; }
+  uint32_t PartitionCount() const { return static_cast<uint32_t>(mLogs.size()); }
+
   // Whether everything that was in all partitions when the process started has been applied.
   bool Loaded() const;
 
--- a/modules/gateway/src/record_writer.cpp
+++ b/modules/gateway/src/record_writer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
+#include <cassert>
 #include <iterator>
 #include <utility>
 
@@ -12,9 +13,6 @@
 using base::ErrorKind;
 using base::Millis;
 
-// Records that arrive within this time are sent in one call. The store handles 500 append calls per
-// second for a stream, from all gateways together; beyond that rate calls are queued.
-static constexpr Millis kBatchDelay{ 25 };
 // A deferred record waits this long for a batch that it can join.
 static constexpr Millis kDeferredDelay{ 400 };
 // Size limit of a batch; a joined batch stays below the store's limit of 256 KB for a record.
@@ -30,13 +28,16 @@
                            LogStore& aStore,
                            StreamId aStream,
                            AppendedHandler aOnAppended,
-                           Joiner aJoin)
+                           Joiner aJoin,
+                           Limits aLimits)
   : mExecutor(aExecutor)
   , mStore(aStore)
   , mStream(aStream)
   , mOnAppended(std::move(aOnAppended))
   , mJoin(std::move(aJoin))
+  , mLimits(aLimits)
 {
+  assert(mLimits.mMaxInFlight > 0 && mLimits.mMaxRecords > 0);
 }
 
 RecordWriter::PendingPtr
@@ -51,7 +52,10 @@
 void
 RecordWriter::StartSender()
 {
-  if (!std::exchange(mSending, true)) {
+  // A sender that still collects records takes those that were just queued.
+  if (mCollecting == 0 && mSenders < mLimits.mMaxInFlight) {
+    ++mSenders;
+    ++mCollecting;
     boost::asio::co_spawn(mExecutor, RunBatches(), LogFailure{});
   }
 }
@@ -103,7 +107,8 @@
   size_t bytes = 0;
   // Deferred records come first: they were written before.
   for (std::deque<PendingPtr>* queue : { &mDeferred, &mQueue }) {
-    while (!queue->empty() && (batch.empty() || bytes < kMaxBatchBytes)) {
+    while (!queue->empty() && batch.size() < mLimits.mMaxRecords &&
+           (batch.empty() || bytes < kMaxBatchBytes)) {
       PendingPtr pending = std::move(queue->front());
       queue->pop_front();
       if (now < pending->mDeadline) {
@@ -125,12 +130,19 @@
 RecordWriter::RunBatches()
 {
   Millis backoff = kInitialBackoff;
-  while (!mQueue.empty()) {
-    co_await SleepFor(kBatchDelay);
+  // This instance is counted in mCollecting at the start of each turn of the loop.
+  for (;;) {
+    if (mLimits.mBatchDelay > Millis(0)) {
+      co_await SleepFor(mLimits.mBatchDelay);
+    }
+    --mCollecting;
     std::vector<PendingPtr> batch = TakeBatch();
     if (batch.empty()) {
       break;
     }
+    if (!mQueue.empty()) {
+      StartSender();
+    }
     const bool sent = co_await SendBatch(std::move(batch));
     if (sent) {
       backoff = kInitialBackoff;
@@ -138,8 +150,12 @@
       co_await SleepFor(backoff);
       backoff = std::min(backoff * 2, kMaxBackoff);
     }
+    if (mQueue.empty() || mCollecting > 0) {
+      break;
+    }
+    ++mCollecting;
   }
-  mSending = false;
+  --mSenders;
 }
 
 boost::asio::awaitable<bool>
@@ -154,8 +170,10 @@
   }
   const auto appended = co_await mStore.Append(mStream, records, kCallTimeout);
   if (base::IsOk(appended)) {
-    const uint64_t offset = base::ValueOf(appended);
-    mOnAppended(offset, records);
+    const auto [offset, joined] = base::ValueOf(appended);
+    if (!joined) {
+      mOnAppended(offset, records);
+    }
     for (size_t i = 0; i < aBatch.size(); ++i) {
       aBatch[i]->mDone = true;
       aBatch[i]->mOffset = offset + std::min(i, records.size() - 1);
--- a/modules/gateway/src/record_writer.h
+++ b/modules/gateway/src/record_writer.h
@@ -7,6 +7,8 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -21,19 +23,29 @@
 class RecordWriter
 {
 public:
-  // Runs after each successful call, with the offset of its first record, before the waiters of
-  // that call resume.
+  // Runs after each successful call whose records were not joined with those of others, with the
+  // offset of its first record, before the waiters of that call resume.
   using AppendedHandler = std::function<void(uint64_t, const std::vector<std::string>&)>;
 
   // Combines the records of a batch into one record of the stream.
   using Joiner = std::function<std::string(const std::vector<std::string>&)>;
 
+  // How records are collected into calls.
+  struct Limits
+  {
+    // Records that arrive within this time are sent in one call.
+    base::Millis mBatchDelay{ 25 };
+    uint32_t mMaxInFlight = 1;   // Calls at the same time.
+    size_t mMaxRecords = 100000; // Of one call.
+  };
+
   // Without aJoin, each record becomes a record of the stream.
   RecordWriter(const boost::asio::any_io_executor& aExecutor,
                LogStore& aStore,
                StreamId aStream,
                AppendedHandler aOnAppended,
-               Joiner aJoin = nullptr);
+               Joiner aJoin,
+               Limits aLimits);
 
   // Appends aRecord; returns its offset. LogUnavailable if it is certain that the record was not
   // appended before aDeadline, OutcomeUnknown if it may have been, or may still be.
@@ -77,9 +89,11 @@
   StreamId mStream;
   AppendedHandler mOnAppended;
   Joiner mJoin;
+  const Limits mLimits;
   std::deque<PendingPtr> mQueue;
   std::deque<PendingPtr> mDeferred; // Sent with the next batch.
-  bool mSending = false;            // RunBatches is running; only it sends.
+  uint32_t mSenders = 0;            // Instances of RunBatches; only they send.
+  uint32_t mCollecting = 0;         // Those that wait for records before their next call.
 };
 
 }
--- a/modules/gateway/src/relay_client.cpp
+++ b/modules/gateway/src/relay_client.cpp
@@ -21,12 +21,23 @@
 static constexpr Millis kRelayOverhead{ 100 };
 static constexpr Millis kDeadPeerTimeout{ 1000 };
 
-RelayClient::RelayClient(const boost::asio::any_io_executor& aExecutor, http::Endpoint aPeer)
+RelayClient::RelayClient(const boost::asio::any_io_executor& aExecutor,
+                         http::Endpoint aPeer,
+                         Mode aMode)
   : mExecutor(aExecutor)
   , mPeer(std::move(aPeer))
+  , mMode(aMode)
 {
 }
 
+void
+RelayClient::Abort()
+{
+  for (boost::beast::tcp_stream* stream : mBusy) {
+    stream->close();
+  }
+}
+
 LogStore::Async<RelayClient::Connection>
 RelayClient::Connect(base::TimePoint aDeadline)
 {
@@ -64,11 +75,13 @@
   Connection connection = base::TakeValue(std::move(connected));
   connection->expires_at(deadline);
   std::string frame = FrameRequest(aRequest);
+  mBusy.insert(connection.get());
   const bool sent = co_await WriteFrame(*connection, std::move(frame));
   std::optional<std::string> answer;
   if (sent) {
     answer = co_await ReadFrame(*connection);
   }
+  mBusy.erase(connection.get());
   auto response = answer ? ParseResponse(*answer) : std::nullopt;
   if (!response) {
     co_return base::Error{ ErrorKind::OutcomeUnknown, "no valid response from the peer", "" };
@@ -78,11 +91,12 @@
   co_return std::move(*response);
 }
 
-static wire::RelayRequestT
-RequestOf(wire::RelayOperation aOperation, StreamId aStream)
+wire::RelayRequestT
+RelayClient::RequestOf(wire::RelayOperation aOperation, StreamId aStream) const
 {
   wire::RelayRequestT request;
   request.operation = aOperation;
+  request.shared = mMode == Mode::Aggregate;
   request.stream = static_cast<uint8_t>(aStream.mName);
   request.partition = aStream.mPartition;
   return request;
@@ -108,7 +122,7 @@
   return aDecode(base::ValueOf(aResponse));
 }
 
-LogStore::Async<uint64_t>
+LogStore::Async<Appended>
 RelayClient::Append(StreamId aStream, std::vector<std::string> aRecords, Millis aTimeout)
 {
   wire::RelayRequestT request = RequestOf(wire::RelayOperation::Append, aStream);
@@ -116,17 +130,17 @@
     AddRecord(record, request);
   }
   const auto response = co_await Call(std::move(request), aTimeout);
-  co_return AnswerOf(response, OffsetOf);
+  co_return AnswerOf(response, AppendedOf);
 }
 
-LogStore::Async<uint64_t>
+LogStore::Async<Appended>
 RelayClient::Put(StreamId aStream, std::string aKey, std::string aValue, Millis aTimeout)
 {
   wire::RelayRequestT request = RequestOf(wire::RelayOperation::Put, aStream);
   request.key = std::move(aKey);
   AddRecord(aValue, request);
   const auto response = co_await Call(std::move(request), aTimeout);
-  co_return AnswerOf(response, OffsetOf);
+  co_return AnswerOf(response, AppendedOf);
 }
 
 LogStore::Async<StreamPage>
@@ -136,8 +150,13 @@
   request.from = aRange.mFrom;
   request.wait_ms = static_cast<uint32_t>(aRange.mWait.count());
   request.max_kb = aRange.mMaxKilobytes;
+  request.fresh = aRange.mFresh;
   const auto response = co_await Call(std::move(request), aTimeout);
-  co_return AnswerOf(response, PageOf);
+  auto page = AnswerOf(response, PageOf);
+  if (auto* read = std::get_if<StreamPage>(&page)) {
+    read->mShared = mMode == Mode::Aggregate;
+  }
+  co_return page;
 }
 
 LogStore::Async<StreamSnapshot>
@@ -147,4 +166,16 @@
   co_return AnswerOf(response, SnapshotOf);
 }
 
+LogStore::Async<std::optional<std::string>>
+RelayClient::Text(std::string aAttempt, Millis aTimeout)
+{
+  wire::RelayRequestT request = RequestOf(wire::RelayOperation::Text, StreamName::Texts);
+  request.key = std::move(aAttempt);
+  const auto response = co_await Call(std::move(request), aTimeout);
+  if (!base::IsOk(response)) {
+    co_return base::ErrorOf(response);
+  }
+  co_return TextRecordOf(base::ValueOf(response));
+}
+
 }
--- a/modules/gateway/src/relay_client.h
+++ b/modules/gateway/src/relay_client.h
@@ -6,7 +6,11 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <cstdint>
 #include <memory>
+#include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace sycamore::gateway {
@@ -16,12 +20,27 @@
 class RelayClient : public LogStore
 {
 public:
-  RelayClient(const boost::asio::any_io_executor& aExecutor, http::Endpoint aPeer);
+  // What the peer does with a call.
+  enum class Mode : uint8_t
+  {
+    Relay,     // Makes it on its own path to the store.
+    Aggregate, // Serves it as the aggregator of the partition.
+  };
 
-  Async<uint64_t> Append(StreamId aStream,
+  RelayClient(const boost::asio::any_io_executor& aExecutor,
+              http::Endpoint aPeer,
+              Mode aMode = Mode::Relay);
+
+  // The record of the text of a turn, if the peer has it in memory. Errors as of a read.
+  Async<std::optional<std::string>> Text(std::string aAttempt, base::Millis aTimeout);
+
+  // Ends all calls in progress at once, as if their connections were lost.
+  void Abort();
+
+  Async<Appended> Append(StreamId aStream,
                          std::vector<std::string> aRecords,
                          base::Millis aTimeout) override;
-  Async<uint64_t> Put(StreamId aStream,
+  Async<Appended> Put(StreamId aStream,
                       std::string aKey,
                       std::string aValue,
                       base::Millis aTimeout) override;
@@ -35,10 +54,13 @@
   // that the peer reports is part of the response.
   Async<wire::RelayResponseT> Call(wire::RelayRequestT aRequest, base::Millis aTimeout);
   Async<Connection> Connect(base::TimePoint aDeadline);
+  wire::RelayRequestT RequestOf(wire::RelayOperation aOperation, StreamId aStream) const;
 
   boost::asio::any_io_executor mExecutor;
   http::Endpoint mPeer;
+  Mode mMode;
   std::vector<Connection> mIdle;
+  std::set<boost::beast::tcp_stream*> mBusy; // Of calls in progress, which own them.
 };
 
 }
--- a/modules/gateway/src/relay_codec.cpp
+++ b/modules/gateway/src/relay_codec.cpp
@@ -68,13 +68,14 @@
 }
 
 wire::RelayResponseT
-ToMessage(const base::Result<uint64_t>& aResult)
+ToMessage(const base::Result<Appended>& aResult)
 {
   if (!base::IsOk(aResult)) {
     return FailureMessage(base::ErrorOf(aResult));
   }
   wire::RelayResponseT message;
-  message.offset = base::ValueOf(aResult);
+  message.offset = base::ValueOf(aResult).mOffset;
+  message.joined = base::ValueOf(aResult).mJoined;
   return message;
 }
 
@@ -130,13 +131,13 @@
   return records;
 }
 
-base::Result<uint64_t>
-OffsetOf(const wire::RelayResponseT& aMessage)
+base::Result<Appended>
+AppendedOf(const wire::RelayResponseT& aMessage)
 {
   if (auto failure = FailureOf(aMessage)) {
     return std::move(*failure);
   }
-  return aMessage.offset;
+  return Appended{ aMessage.offset, aMessage.joined };
 }
 
 base::Result<StreamPage>
@@ -145,7 +146,7 @@
   if (auto failure = FailureOf(aMessage)) {
     return std::move(*failure);
   }
-  return StreamPage{ aMessage.end, aMessage.next, aMessage.expired, RecordsOf(aMessage) };
+  return StreamPage{ aMessage.end, aMessage.next, aMessage.expired, false, RecordsOf(aMessage) };
 }
 
 base::Result<StreamSnapshot>
@@ -157,4 +158,21 @@
   return StreamSnapshot{ aMessage.end, RecordsOf(aMessage) };
 }
 
+wire::RelayResponseT
+TextMessage(const std::optional<std::string>& aRecord)
+{
+  wire::RelayResponseT message;
+  if (aRecord) {
+    AddRecords({ StreamRecord{ 0, "", aRecord } }, message);
+  }
+  return message;
+}
+
+std::optional<std::string>
+TextRecordOf(const wire::RelayResponseT& aMessage)
+{
+  std::vector<StreamRecord> records = RecordsOf(aMessage);
+  return records.empty() ? std::nullopt : std::move(records.front().mValue);
+}
+
 }
--- a/modules/gateway/src/relay_codec.h
+++ b/modules/gateway/src/relay_codec.h
@@ -25,7 +25,7 @@
 
 // Conversions between the results of a LogStore and messages.
 wire::RelayResponseT
-ToMessage(const base::Result<uint64_t>& aResult);
+ToMessage(const base::Result<Appended>& aResult);
 
 wire::RelayResponseT
 ToMessage(const base::Result<StreamPage>& aResult);
@@ -33,8 +33,8 @@
 wire::RelayResponseT
 ToMessage(const base::Result<StreamSnapshot>& aResult);
 
-base::Result<uint64_t>
-OffsetOf(const wire::RelayResponseT& aMessage);
+base::Result<Appended>
+AppendedOf(const wire::RelayResponseT& aMessage);
 
 base::Result<StreamPage>
 PageOf(const wire::RelayResponseT& aMessage);
@@ -42,4 +42,11 @@
 base::Result<StreamSnapshot>
 SnapshotOf(const wire::RelayResponseT& aMessage);
 
+// The answer to a question for the text of a turn: its record, or nothing if it is not in memory.
+wire::RelayResponseT
+TextMessage(const std::optional<std::string>& aRecord);
+
+std::optional<std::string>
+TextRecordOf(const wire::RelayResponseT& aMessage);
+
 }
--- a/modules/gateway/src/relay_server.cpp
+++ b/modules/gateway/src/relay_server.cpp
@@ -34,12 +34,16 @@
 }
 
 static boost::asio::awaitable<wire::RelayResponseT>
-Perform(LogStore& aStore, const wire::RelayRequestT& aRequest)
+Perform(const RelayServices& aServices, const wire::RelayRequestT& aRequest)
 {
+  if (aRequest.operation == wire::RelayOperation::Text) {
+    co_return TextMessage(aServices.mFindText(aRequest.key));
+  }
+  LogStore& store = aRequest.shared ? aServices.mAggregator : aServices.mDirect;
   const Millis timeout(std::min(aRequest.timeout_ms, kMaxTimeoutMs));
   const auto stream = StreamOf(aRequest);
   if (!stream) {
-    const base::Result<uint64_t> unknown =
+    const base::Result<Appended> unknown =
       base::Error{ base::ErrorKind::LogUnavailable, "unknown stream", "" };
     co_return ToMessage(unknown);
   }
@@ -49,23 +53,25 @@
   }
   switch (aRequest.operation) {
     case wire::RelayOperation::Append:
-      co_return ToMessage(co_await aStore.Append(*stream, std::move(records), timeout));
+      co_return ToMessage(co_await store.Append(*stream, std::move(records), timeout));
     case wire::RelayOperation::Put: {
       std::string value = records.empty() ? std::string() : std::move(records.front());
-      co_return ToMessage(co_await aStore.Put(*stream, aRequest.key, std::move(value), timeout));
+      co_return ToMessage(co_await store.Put(*stream, aRequest.key, std::move(value), timeout));
     }
     case wire::RelayOperation::Read: {
-      const ReadRange range{ aRequest.from, Millis(aRequest.wait_ms), aRequest.max_kb };
-      co_return ToMessage(co_await aStore.Read(*stream, range, timeout));
+      ReadRange range{ aRequest.from, Millis(aRequest.wait_ms), aRequest.max_kb };
+      range.mFresh = aRequest.fresh;
+      co_return ToMessage(co_await store.Read(*stream, range, timeout));
     }
     case wire::RelayOperation::Newest:
+    case wire::RelayOperation::Text: // Answered above.
       break;
   }
-  co_return ToMessage(co_await aStore.Newest(*stream, timeout));
+  co_return ToMessage(co_await store.Newest(*stream, timeout));
 }
 
 boost::asio::awaitable<void>
-ServeRelay(boost::asio::ip::tcp::socket aSocket, LogStore& aStore)
+ServeRelay(boost::asio::ip::tcp::socket aSocket, const RelayServices& aServices)
 {
   boost::beast::tcp_stream stream(std::move(aSocket));
   EnableDeadPeerDetection(stream.socket(), Millis(kIdleTimeout));
@@ -80,7 +86,7 @@
       base::Log(base::LogEvent::PeerProtocolError, "malformed relay request from a peer");
       co_return;
     }
-    const wire::RelayResponseT response = co_await Perform(aStore, *request);
+    const wire::RelayResponseT response = co_await Perform(aServices, *request);
     stream.expires_after(kIdleTimeout);
     const bool sent = co_await WriteFrame(stream, FrameResponse(response));
     if (!sent) {
--- a/modules/gateway/src/relay_server.h
+++ b/modules/gateway/src/relay_server.h
@@ -4,13 +4,26 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <optional>
+#include <string>
 
 namespace sycamore::gateway {
 
-// Serves one connection of another gateway: runs its calls on aStore, one at a time, until the
-// connection ends. aStore must be the direct path to the platform, so that relayed calls never form
-// a loop.
+// What a gateway does for others.
+struct RelayServices
+{
+  // The direct path to the platform, so that relayed calls never form a loop.
+  LogStore& mDirect;
+  // Serves the partitions that this gateway aggregates.
+  LogStore& mAggregator;
+  // The record of a turn's text if it is in memory.
+  std::function<std::optional<std::string>(const std::string&)> mFindText;
+};
+
+// Serves one connection of another gateway, one call at a time, until the connection ends.
+// aServices must outlive it.
 boost::asio::awaitable<void>
-ServeRelay(boost::asio::ip::tcp::socket aSocket, LogStore& aStore);
+ServeRelay(boost::asio::ip::tcp::socket aSocket, const RelayServices& aServices);
 
 }
--- a/modules/gateway/src/store_paths.cpp
+++ b/modules/gateway/src/store_paths.cpp
@@ -5,6 +5,7 @@
 #include "sycamore/base/log.h"
 
 #include <algorithm>
+#include <type_traits>
 
 namespace sycamore::gateway {
 
@@ -20,32 +21,55 @@
 static constexpr Millis kProbeTimeout{ 350 };
 // A peer's report of a store failure is valid for this long; peers are queried at least as often.
 static constexpr Millis kPeerReportValidity{ 2000 };
+// Timeout of a read from an aggregator's memory, half of which it may wait for records. A frozen
+// aggregator is noticed after this time.
+static constexpr Millis kAggregatorTimeout{ 400 };
+// Timeout of a question for a text. The store answers within 80 ms, gateways of the same region
+// within some milliseconds.
+static constexpr Millis kTextTimeout{ 100 };
 // Peers that one call is tried through.
 static constexpr size_t kPeersPerCall = 2;
 
 StorePaths::StorePaths(const boost::asio::any_io_executor& aExecutor,
-                       std::unique_ptr<LogStore> aDirect)
+                       std::unique_ptr<LogStore> aDirect,
+                       Member aOwn)
   : mExecutor(aExecutor)
+  , mOwnInstance(aOwn.mInstance)
   , mDirect(std::make_shared<Path>())
-  , mDirectStore(*this)
+  , mDirectStore(*this, Route::Direct)
+  , mUnaggregatedStore(*this, Route::AnyPath)
+  , mAggregators(aExecutor, std::move(aOwn))
   , mLastSuccess(base::Clock::now())
 {
   mDirect->mStore = std::move(aDirect);
 }
 
 void
-StorePaths::SetPeers(const std::map<std::string, http::Endpoint>& aPeers)
+StorePaths::SetMembers(const std::vector<Member>& aMembers)
 {
   std::erase_if(mPeers, [&](const auto& aEntry) {
-    const auto peer = aPeers.find(aEntry.first);
-    return peer == aPeers.end() || peer->second != aEntry.second.first;
+    return std::none_of(aMembers.begin(), aMembers.end(), [&](const Member& aMember) {
+      return aMember.mInstance == aEntry.first && aMember.mPeer == aEntry.second.first;
+    });
   });
-  for (const auto& [instance, endpoint] : aPeers) {
-    if (!mPeers.contains(instance)) {
-      auto path = std::make_shared<Path>();
-      path->mStore = std::make_unique<RelayClient>(mExecutor, endpoint);
-      mPeers.emplace(instance, std::make_pair(endpoint, std::move(path)));
+  mWriters.clear();
+  for (const Member& member : aMembers) {
+    if (member.mInstance == mOwnInstance) {
+      continue;
     }
+    auto& [endpoint, path] = mPeers[member.mInstance];
+    if (!path) {
+      endpoint = member.mPeer;
+      path = std::make_shared<Path>();
+      auto peer = std::make_unique<RelayClient>(mExecutor, member.mPeer);
+      path->mPeer = peer.get();
+      path->mStore = std::move(peer);
+    }
+    mWriters[WriterHash(member.mInstance)] = path;
+  }
+  mAggregators.SetMembers(aMembers);
+  if (mOnMembersChanged) {
+    mOnMembersChanged();
   }
 }
 
@@ -160,8 +184,7 @@
     }
   }
   if (base::IsOk(result)) {
-    mReachable = true;
-    mLastSuccess = base::Clock::now();
+    NoteSuccess();
     co_return result;
   }
   mReachable = false;
@@ -170,8 +193,51 @@
   co_return error;
 }
 
+void
+StorePaths::NoteSuccess()
+{
+  mReachable = true;
+  mLastSuccess = base::Clock::now();
+}
+
+template<typename T>
+LogStore::Async<T>
+StorePaths::OnAggregator(std::shared_ptr<AggregatorPaths::Path> aAggregator,
+                         Operation<T> aOperation,
+                         Millis aAggregatorTimeout,
+                         Millis aTimeout)
+{
+  auto result = co_await aOperation(aAggregator->Store(), aAggregatorTimeout);
+  if (base::IsOk(result)) {
+    mAggregators.NoteSuccess(*aAggregator);
+    co_return result;
+  }
+  // Reads tell a silent aggregator from one that reports a failure of the store.
+  const ErrorKind kind = base::ErrorOf(result).mKind;
+  const bool silent = std::is_same_v<T, StreamPage> && kind != ErrorKind::LogUnavailable;
+  mAggregators.NoteFailure(*aAggregator, silent);
+  if (aAggregator->mLocal != nullptr) {
+    co_return result; // It has tried the other paths.
+  }
+  result = co_await OnAnyPath<T>(aOperation, aTimeout);
+  if (!base::IsOk(result) && kind == ErrorKind::OutcomeUnknown) {
+    base::Error error = base::ErrorOf(result);
+    error.mKind = ErrorKind::OutcomeUnknown;
+    co_return error;
+  }
+  co_return result;
+}
+
+template<typename T>
+LogStore::Async<T>
+StorePaths::On(Route aRoute, Operation<T> aOperation, Millis aTimeout)
+{
+  return aRoute == Route::Direct ? OnDirect<T>(std::move(aOperation), aTimeout)
+                                 : OnAnyPath<T>(std::move(aOperation), aTimeout);
+}
+
 // The calls as operations that can run on any path.
-static StorePaths::Operation<uint64_t>
+static StorePaths::Operation<Appended>
 AppendOperation(StreamId aStream, std::vector<std::string> aRecords)
 {
   return [aStream, records = std::move(aRecords)](LogStore& aStore, Millis aLimit) {
@@ -179,7 +245,7 @@
   };
 }
 
-static StorePaths::Operation<uint64_t>
+static StorePaths::Operation<Appended>
 PutOperation(StreamId aStream, std::string aKey, std::string aValue)
 {
   return [aStream, key = std::move(aKey), value = std::move(aValue)](
@@ -203,13 +269,22 @@
   return [aStream](LogStore& aStore, Millis aLimit) { return aStore.Newest(aStream, aLimit); };
 }
 
-LogStore::Async<uint64_t>
+LogStore::Async<Appended>
 StorePaths::Append(StreamId aStream, std::vector<std::string> aRecords, Millis aTimeout)
 {
-  return OnAnyPath(AppendOperation(aStream, std::move(aRecords)), aTimeout);
+  auto operation = AppendOperation(aStream, std::move(aRecords));
+  if (auto aggregator = mAggregators.For(aStream)) {
+    auto result =
+      co_await OnAggregator<Appended>(std::move(aggregator), operation, aTimeout, aTimeout);
+    if (base::IsOk(result)) {
+      NoteSuccess(); // The store has acknowledged the records.
+    }
+    co_return result;
+  }
+  co_return co_await OnAnyPath<Appended>(operation, aTimeout);
 }
 
-LogStore::Async<uint64_t>
+LogStore::Async<Appended>
 StorePaths::Put(StreamId aStream, std::string aKey, std::string aValue, Millis aTimeout)
 {
   return OnAnyPath(PutOperation(aStream, std::move(aKey), std::move(aValue)), aTimeout);
@@ -218,7 +293,19 @@
 LogStore::Async<StreamPage>
 StorePaths::Read(StreamId aStream, ReadRange aRange, Millis aTimeout)
 {
-  return OnAnyPath(ReadOperation(aStream, aRange), aTimeout);
+  const bool mayBeShared = aStream.mName == StreamName::Programs && !aRange.mStoreOnly;
+  auto aggregator = mayBeShared ? mAggregators.For(aStream) : nullptr;
+  if (!aggregator || aggregator->mLocal != nullptr) {
+    co_return co_await OnAnyPath<StreamPage>(ReadOperation(aStream, aRange), aTimeout);
+  }
+  if (aRange.mFresh) {
+    co_return co_await OnAggregator<StreamPage>(
+      std::move(aggregator), ReadOperation(aStream, aRange), aTimeout, aTimeout);
+  }
+  // Answered from the memory of a gateway in the same failure domain.
+  const Millis limit = std::min(aTimeout, kAggregatorTimeout);
+  co_return co_await OnAggregator<StreamPage>(
+    std::move(aggregator), ReadOperation(aStream, aRange), limit, aTimeout);
 }
 
 LogStore::Async<StreamSnapshot>
@@ -227,33 +314,51 @@
   return OnAnyPath(NewestOperation(aStream), aTimeout);
 }
 
-LogStore::Async<uint64_t>
-StorePaths::DirectStore::Append(StreamId aStream,
+boost::asio::awaitable<std::optional<std::string>>
+StorePaths::TextFrom(uint32_t aWriter, std::string aAttempt)
+{
+  const auto writer = mWriters.find(aWriter);
+  if (writer == mWriters.end() || !AllowCall(*writer->second)) {
+    co_return std::nullopt;
+  }
+  const std::shared_ptr<Path> path = writer->second;
+  auto answer = co_await path->mPeer->Text(std::move(aAttempt), kTextTimeout);
+  if (!base::IsOk(answer)) {
+    ++path->mFailures;
+    co_return std::nullopt;
+  }
+  path->mFailures = 0;
+  co_return base::TakeValue(std::move(answer));
+}
+
+LogStore::Async<Appended>
+StorePaths::RoutedStore::Append(StreamId aStream,
                                 std::vector<std::string> aRecords,
                                 Millis aTimeout)
 {
-  return mPaths.OnDirect(AppendOperation(aStream, std::move(aRecords)), aTimeout);
+  return mPaths.On<Appended>(mRoute, AppendOperation(aStream, std::move(aRecords)), aTimeout);
 }
 
-LogStore::Async<uint64_t>
-StorePaths::DirectStore::Put(StreamId aStream,
+LogStore::Async<Appended>
+StorePaths::RoutedStore::Put(StreamId aStream,
                              std::string aKey,
                              std::string aValue,
                              Millis aTimeout)
 {
-  return mPaths.OnDirect(PutOperation(aStream, std::move(aKey), std::move(aValue)), aTimeout);
+  auto operation = PutOperation(aStream, std::move(aKey), std::move(aValue));
+  return mPaths.On<Appended>(mRoute, std::move(operation), aTimeout);
 }
 
 LogStore::Async<StreamPage>
-StorePaths::DirectStore::Read(StreamId aStream, ReadRange aRange, Millis aTimeout)
+StorePaths::RoutedStore::Read(StreamId aStream, ReadRange aRange, Millis aTimeout)
 {
-  return mPaths.OnDirect(ReadOperation(aStream, aRange), aTimeout);
+  return mPaths.On<StreamPage>(mRoute, ReadOperation(aStream, aRange), aTimeout);
 }
 
 LogStore::Async<StreamSnapshot>
-StorePaths::DirectStore::Newest(StreamId aStream, Millis aTimeout)
+StorePaths::RoutedStore::Newest(StreamId aStream, Millis aTimeout)
 {
-  return mPaths.OnDirect(NewestOperation(aStream), aTimeout);
+  return mPaths.On<StreamSnapshot>(mRoute, NewestOperation(aStream), aTimeout);
 }
 
 }
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -410,7 +410,8 @@
                                 mCall.mRoute->mRetention,
                                 mContext.mTexts.Next(),
                                 static_cast<uint32_t>(text.Bytes()),
-                                mContext.mTexts.Partition() };
+                                mContext.mTexts.Partition(),
+                                mContext.mWriterHash };
   ProgramLog& log = mContext.mPrograms.For(head.mProgram);
   // Both records are appended concurrently: in a remote region each takes 70 ms.
   std::optional<uint64_t> textOffset;
--- a/modules/gateway/src/turn_texts.cpp
+++ b/modules/gateway/src/turn_texts.cpp
@@ -25,6 +25,8 @@
 // short.
 static constexpr base::Seconds kRefreshInterval{ 5 };
 static constexpr Millis kRetryDelay{ 300 };
+// The aggregator collects the texts of the failure domain, each of which it gets in a call.
+static constexpr uint32_t kAppendsInFlight = 8;
 // Bytes of a record beyond its texts.
 static constexpr uint32_t kRecordOverhead = 128;
 static constexpr uint32_t kKilobyte = 1024;
@@ -42,18 +44,24 @@
 TurnTexts::TurnTexts(const boost::asio::any_io_executor& aExecutor,
                      LogStore& aStore,
                      uint32_t aPartition,
-                     size_t aMaxBytes)
+                     size_t aMaxBytes,
+                     WriterQuery aAskWriter)
   : mExecutor(aExecutor)
   , mStore(aStore)
   , mStream(StreamName::Texts, aPartition)
   , mMaxBytes(aMaxBytes)
-  , mWriter(aExecutor,
-            aStore,
-            mStream,
-            [this](uint64_t aOffset, const std::vector<std::string>& aRecords) {
-              mNextOffset = std::max(mNextOffset, aOffset + aRecords.size());
-              mNextOffsetKnownAt = base::Clock::now();
-            })
+  , mAskWriter(std::move(aAskWriter))
+  , mWriter(
+      aExecutor,
+      aStore,
+      mStream,
+      [this](uint64_t aOffset, const std::vector<std::string>& aRecords) {
+        // Also the end of texts of others, who append to the same partition.
+        mNextOffset = std::max(mNextOffset, aOffset + aRecords.size());
+        mNextOffsetKnownAt = base::Clock::now();
+      },
+      nullptr,
+      RecordWriter::Limits{ Millis(0), kAppendsInFlight, 1 })
 {
 }
 
@@ -142,9 +150,35 @@
   return std::nullopt;
 }
 
+std::optional<std::string>
+TurnTexts::FindRecord(const std::string& aAttempt)
+{
+  const TurnTextPtr text = FindCached(aAttempt);
+  return text ? std::optional<std::string>(programs::EncodeTurnText(*text)) : std::nullopt;
+}
+
+boost::asio::awaitable<TurnTextPtr>
+TurnTexts::ReadFromWriter(const TextReference& aReference)
+{
+  const auto record = co_await mAskWriter(aReference.mLocation.mWriter, aReference.mAttempt);
+  auto text = record ? programs::DecodeTurnText(*record) : std::nullopt;
+  if (!text || text->mAttempt != aReference.mAttempt) {
+    co_return nullptr;
+  }
+  auto kept = std::make_shared<const TurnText>(std::move(*text));
+  AddToCache(kept);
+  co_return kept;
+}
+
 boost::asio::awaitable<base::Result<TurnTextPtr>>
 TurnTexts::ReadOne(TextReference aReference, base::TimePoint aDeadline)
 {
+  if (aReference.mLocation.mWriter != 0) {
+    TurnTextPtr text = co_await ReadFromWriter(aReference);
+    if (text) {
+      co_return text;
+    }
+  }
   const programs::TextLocation& location = aReference.mLocation;
   const StreamId stream(StreamName::Texts, location.mPartition);
   const uint32_t kilobytes = (location.mBytes + kRecordOverhead) / kKilobyte + 1;
--- a/modules/gateway/src/turn_texts.h
+++ b/modules/gateway/src/turn_texts.h
@@ -10,9 +10,12 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -28,16 +31,23 @@
 
 using TurnTextPtr = std::shared_ptr<const programs::TurnText>;
 
-// The texts of the history: appended to their stream, kept in an LRU cache, and read back one by
-// one if another gateway or an earlier process has written them. Lives on one event loop.
+// The texts of the history: appended to their stream, and kept in an LRU cache. A text of another
+// gateway comes from its memory, which is near and knows its place, or else from the store. Lives
+// on one event loop.
 class TurnTexts
 {
 public:
-  // Appends to aPartition of the stream; texts of other gateways are in others.
+  // Asks the gateway whose instance has the given hash for the record of an attempt's text; nothing
+  // if it does not answer or does not have it in memory.
+  using WriterQuery =
+    std::function<boost::asio::awaitable<std::optional<std::string>>(uint32_t, std::string)>;
+
+  // Appends to aPartition of the stream.
   TurnTexts(const boost::asio::any_io_executor& aExecutor,
             LogStore& aStore,
             uint32_t aPartition,
-            size_t aMaxBytes);
+            size_t aMaxBytes,
+            WriterQuery aAskWriter);
 
   uint32_t Partition() const { return mStream.mPartition; }
 
@@ -57,6 +67,9 @@
     std::vector<TextReference> aReferences,
     base::TimePoint aDeadline);
 
+  // The record of a text, for another gateway; nothing if it is not in memory.
+  std::optional<std::string> FindRecord(const std::string& aAttempt);
+
   size_t CachedBytes() const { return mBytes; }
 
 private:
@@ -71,6 +84,7 @@
   boost::asio::awaitable<void> RunReads(Batch& aBatch);
   boost::asio::awaitable<base::Result<TurnTextPtr>> ReadOne(TextReference aReference,
                                                             base::TimePoint aDeadline);
+  boost::asio::awaitable<TurnTextPtr> ReadFromWriter(const TextReference& aReference);
   TurnTextPtr FindCached(const std::string& aAttempt);
   void AddToCache(TurnTextPtr aText);
 
@@ -78,6 +92,7 @@
   LogStore& mStore;
   const StreamId mStream;
   const size_t mMaxBytes;
+  const WriterQuery mAskWriter;
   size_t mBytes = 0;
   std::list<std::string> mRecentlyUsed; // Attempts, the most recently used one first.
   std::unordered_map<std::string, Entry> mEntries;
--- a/modules/gateway/tests/fake_log_store.h
+++ b/modules/gateway/tests/fake_log_store.h
@@ -15,12 +15,14 @@
 class FakeLogStore : public LogStore
 {
 public:
-  Async<uint64_t> Append(StreamId aStream,
+  Async<Appended> Append(StreamId aStream,
                          std::vector<std::string> aRecords,
                          base::Millis /*aTimeout*/) override
   {
     ++mAppends;
+    mMostAppendsAtOnce = std::max(mMostAppendsAtOnce, ++mAppendsNow);
     co_await SleepFor(mLatency);
+    --mAppendsNow;
     if (mDown) {
       co_return base::Error{ base::ErrorKind::LogUnavailable, "down", "" };
     }
@@ -31,10 +33,10 @@
       --mLostAnswers;
       co_return base::Error{ base::ErrorKind::OutcomeUnknown, "no answer", "" };
     }
-    co_return offset;
+    co_return Appended{ offset };
   }
 
-  Async<uint64_t> Put(StreamId aStream,
+  Async<Appended> Put(StreamId aStream,
                       std::string aKey,
                       std::string aValue,
                       base::Millis aTimeout) override
@@ -80,6 +82,8 @@
   bool mExpired = false; // Reads find that records before them were dropped.
   int mLostAnswers = 0;  // Appends that take effect without an answer.
   int mAppends = 0;
+  int mAppendsNow = 0; // Under way.
+  int mMostAppendsAtOnce = 0;
   int mReads = 0;
   base::Millis mLongestWait{ 0 }; // That a read asked for.
 };
--- a/modules/gateway/tests/record_writer_test.cpp
+++ b/modules/gateway/tests/record_writer_test.cpp
@@ -11,7 +11,9 @@
   RecordWriter mWriter{ mLoop.get_executor(),
                         mStore,
                         StreamName::Programs,
-                        [](uint64_t, const std::vector<std::string>&) {} };
+                        [](uint64_t, const std::vector<std::string>&) {},
+                        nullptr,
+                        RecordWriter::Limits{} };
   std::vector<base::Result<uint64_t>> mResults;
 
   boost::asio::awaitable<void> Append(std::string aRecord, base::Millis aLimit)
@@ -99,7 +101,8 @@
                             joined += record + ",";
                           }
                           return joined;
-                        } };
+                        },
+                        RecordWriter::Limits{} };
   std::vector<uint64_t> mOffsets;
 
   boost::asio::awaitable<void> Append(std::string aRecord)
@@ -123,4 +126,55 @@
   BOOST_TEST(mStore.mStreams[StreamName::Programs].back() == "a,b,");
 }
 
+// A writer that has up to three calls of two records under way.
+struct RecordWriterInFlightFixture : LoopFixture
+{
+  FakeLogStore mStore;
+  RecordWriter mWriter{ mLoop.get_executor(),
+                        mStore,
+                        StreamName::Texts,
+                        [](uint64_t, const std::vector<std::string>&) {},
+                        nullptr,
+                        RecordWriter::Limits{ base::Millis(0), 3, 2 } };
+  size_t mAppended = 0;
+
+  boost::asio::awaitable<void> Append(std::string aRecord)
+  {
+    const auto result =
+      co_await mWriter.Append(std::move(aRecord), base::Clock::now() + base::Seconds(10));
+    mAppended += base::IsOk(result) ? 1 : 0;
+  }
+};
+
+// Guards against records that wait for the calls before them, each of which takes a round trip to a
+// remote region, against more calls at once than are allowed, and against records that are left in
+// the queue when a call ends.
+BOOST_FIXTURE_TEST_CASE(RecordWriterCallsInFlightAreBounded, RecordWriterInFlightFixture)
+{
+  mStore.mLatency = base::Millis(50);
+  for (int i = 0; i < 24; ++i) {
+    Spawn(Append("r" + std::to_string(i)));
+  }
+  const base::TimePoint begin = base::Clock::now();
+  RunUntil([&] { return mAppended == 24; });
+  const auto took = base::Clock::now() - begin;
+  BOOST_TEST(mStore.mStreams[StreamName::Texts].size() == 24U);
+  BOOST_TEST(mStore.mMostAppendsAtOnce == 3);
+  // One call after the other takes 12 round trips of 50 ms.
+  BOOST_TEST((took < base::Millis(12 * 50)));
+}
+
+// Guards against a queue that stays behind when the store fails while several calls are under way.
+BOOST_FIXTURE_TEST_CASE(RecordWriterInFlightCallsFailAreRepeated, RecordWriterInFlightFixture)
+{
+  mStore.mDown = true;
+  for (int i = 0; i < 12; ++i) {
+    Spawn(Append("r" + std::to_string(i)));
+  }
+  RunUntil([&] { return mStore.mAppends >= 6; });
+  mStore.mDown = false;
+  RunUntil([&] { return mAppended == 12; });
+  BOOST_TEST(mStore.mStreams[StreamName::Texts].size() == 12U);
+}
+
 }
--- a/modules/gateway/tests/store_paths_test.cpp
+++ b/modules/gateway/tests/store_paths_test.cpp
@@ -14,18 +14,27 @@
 // A process with a direct path to the store, and another one that serves it as a peer.
 struct StorePathsFixture : LoopFixture
 {
+  static Member Named(const std::string& aInstance) { return { aInstance, {}, "", 0 }; }
+
   FakeLogStore* mDirectFake = new FakeLogStore;
-  StorePaths mPaths{ mLoop.get_executor(), std::unique_ptr<LogStore>(mDirectFake) };
+  StorePaths mPaths{ mLoop.get_executor(), std::unique_ptr<LogStore>(mDirectFake), Named("own") };
   FakeLogStore* mPeerStore = new FakeLogStore;
-  StorePaths mPeer{ mLoop.get_executor(), std::unique_ptr<LogStore>(mPeerStore) };
+  StorePaths mPeer{ mLoop.get_executor(), std::unique_ptr<LogStore>(mPeerStore), Named("peer") };
+  FakeLogStore mNoAggregator;
+  const RelayServices mServices{ mPeer.DirectForPeers(),
+                                 mNoAggregator,
+                                 [](const std::string& aAttempt) {
+                                   return aAttempt == "known" ? std::optional<std::string>("text")
+                                                              : std::nullopt;
+                                 } };
   tcp::acceptor mAcceptor{ mLoop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0) };
-  std::optional<base::Result<uint64_t>> mAppended;
+  std::optional<base::Result<Appended>> mAppended;
   std::optional<base::Result<StreamPage>> mPage;
 
   StorePathsFixture()
   {
     Spawn(Serve());
-    mPaths.SetPeers({ { "peer", { "127.0.0.1", mAcceptor.local_endpoint().port() } } });
+    mPaths.SetMembers({ { "peer", { "127.0.0.1", mAcceptor.local_endpoint().port() }, "", 0 } });
   }
 
   boost::asio::awaitable<void> Serve()
@@ -35,7 +44,7 @@
       if (error) {
         co_return;
       }
-      Spawn(ServeRelay(std::move(socket), mPeer.DirectForPeers()));
+      Spawn(ServeRelay(std::move(socket), mServices));
     }
   }
 
@@ -137,4 +146,26 @@
   BOOST_TEST((mPeerStore->mLongestWait <= base::Millis(350 / 2)));
 }
 
+// Guards against a text that is taken from the wrong gateway or invented, and against a wait for a
+// gateway that has gone.
+BOOST_FIXTURE_TEST_CASE(StorePathsTextComesFromItsWriterOrNotAtAll, StorePathsFixture)
+{
+  std::vector<std::optional<std::string>> texts;
+  const auto ask = [&](uint32_t aWriter, std::string aAttempt) -> boost::asio::awaitable<void> {
+    auto text = co_await mPaths.TextFrom(aWriter, std::move(aAttempt));
+    texts.push_back(std::move(text));
+  };
+  for (const auto& [writer, attempt] : { std::pair("peer", "known"),
+                                         std::pair("peer", "unknown"),
+                                         std::pair("stranger", "known") }) {
+    const size_t before = texts.size();
+    Spawn(ask(WriterHash(writer), attempt));
+    RunUntil([&] { return texts.size() > before; });
+  }
+  BOOST_TEST_REQUIRE(texts[0].has_value());
+  BOOST_TEST(*texts[0] == "text");
+  BOOST_TEST(!texts[1].has_value());
+  BOOST_TEST(!texts[2].has_value());
+}
+
 }
--- a/modules/gateway/tests/turn_texts_test.cpp
+++ b/modules/gateway/tests/turn_texts_test.cpp
@@ -12,11 +12,32 @@
 struct TurnTextsFixture : LoopFixture
 {
   FakeLogStore mStore;
-  TurnTexts mWriter{ mLoop.get_executor(), mStore, 0, 1000000 };
-  TurnTexts mReader{ mLoop.get_executor(), mStore, 1, 1000 };
+  static constexpr uint32_t kWriter = 7; // The hash of the writer's instance.
+
+  TurnTexts mWriter{ mLoop.get_executor(), mStore, 0, 1000000, NoWriter };
+  TurnTexts mReader{ mLoop.get_executor(),
+                     mStore,
+                     1,
+                     1000,
+                     [this](uint32_t aWriter, std::string aAttempt)
+                       -> boost::asio::awaitable<std::optional<std::string>> {
+                       ++mQuestions;
+                       const bool asked = aWriter == kWriter && mWriterAnswers;
+                       co_return asked ? mWriter.FindRecord(mAnswerFor.value_or(aAttempt))
+                                       : std::nullopt;
+                     } };
+  bool mWriterAnswers = true;
+  std::optional<std::string> mAnswerFor; // The writer answers with the text of this attempt.
+  int mQuestions = 0;
   std::optional<base::Result<std::vector<TurnTextPtr>>> mLoaded;
   std::vector<uint64_t> mOffsets;
 
+  static boost::asio::awaitable<std::optional<std::string>> NoWriter(uint32_t /* aWriter */,
+                                                                     std::string /* aAttempt */)
+  {
+    co_return std::nullopt;
+  }
+
   boost::asio::awaitable<void> Append(TurnText aText)
   {
     const auto offset =
@@ -122,4 +143,28 @@
   BOOST_TEST(mReader.Next() <= 5U);
 }
 
+// Guards against a read of the store, 70 ms from a remote region and 64 KB for a text whose place
+// is not known yet, while the gateway that ran the turn before is near and has its text in memory.
+BOOST_FIXTURE_TEST_CASE(TurnTextsTextComesFromItsWriterWithoutTheStore, TurnTextsFixture)
+{
+  AppendTexts(3);
+  mStore.mReads = 0;
+  const TextLocation estimate{ 0, false, 6, 0, kWriter };
+  BOOST_TEST(TextOf({ { "t1", estimate }, { "t2", estimate } }) == "in1out1\nin2out2\n");
+  BOOST_TEST(mQuestions == 2);
+  BOOST_TEST(mStore.mReads == 0);
+}
+
+// Guards against a turn that is refused, or gets another turn's text, because its writer has gone
+// or answers wrongly.
+BOOST_FIXTURE_TEST_CASE(TurnTextsWriterThatCannotAnswerIsReplacedByTheStore, TurnTextsFixture)
+{
+  AppendTexts(3);
+  mWriterAnswers = false;
+  BOOST_TEST(TextOf({ { "t1", TextLocation{ 1, true, 6, 0, kWriter } } }) == "in1out1\n");
+  mWriterAnswers = true;
+  mAnswerFor = "t0";
+  BOOST_TEST(TextOf({ { "t2", TextLocation{ 2, true, 6, 0, kWriter } } }) == "in2out2\n");
+}
+
 }
--- a/modules/programs/include/sycamore/programs/program_record.h
+++ b/modules/programs/include/sycamore/programs/program_record.h
@@ -42,6 +42,7 @@
   uint64_t mTextSearchStart = 0; // Offset in the texts' stream at which a search for them starts.
   uint32_t mTextBytes = 0;
   uint32_t mTextPartition = 0; // Of the texts' stream.
+  uint32_t mWriter = 0;        // See TextLocation.
 
   bool operator==(const TurnCompleted&) const = default;
 };
--- a/modules/programs/include/sycamore/programs/turn.h
+++ b/modules/programs/include/sycamore/programs/turn.h
@@ -14,6 +14,7 @@
   bool mExact = false;     // Whether mFrom is the record's own offset.
   uint32_t mBytes = 0;     // Of input and output together.
   uint32_t mPartition = 0; // Of the texts' stream.
+  uint32_t mWriter = 0;    // Hash of the instance that keeps them in memory; 0 if not known.
 
   bool operator==(const TextLocation&) const = default;
 };
--- a/modules/programs/src/program_registry.cpp
+++ b/modules/programs/src/program_registry.cpp
@@ -56,7 +56,7 @@
     return;
   }
   const TextLocation text{
-    aEvent.mTextSearchStart, false, aEvent.mTextBytes, aEvent.mTextPartition
+    aEvent.mTextSearchStart, false, aEvent.mTextBytes, aEvent.mTextPartition, aEvent.mWriter
   };
   position->second = { aEvent.mProgram, aEvent.mPrevious, text, aEvent.mReplica, expires };
   ExtendChain(aEvent.mPrevious, expires);
--- a/modules/programs/src/record_codec.cpp
+++ b/modules/programs/src/record_codec.cpp
@@ -101,6 +101,7 @@
   table.text_from = aEvent.mTextSearchStart;
   table.text_bytes = aEvent.mTextBytes;
   table.text_partition = aEvent.mTextPartition;
+  table.writer = aEvent.mWriter;
   return EventOf(std::move(table));
 }
 
@@ -136,7 +137,8 @@
                           base::Millis(turn->retention_ms),
                           turn->text_from,
                           turn->text_bytes,
-                          turn->text_partition };
+                          turn->text_partition,
+                          turn->writer };
   }
   if (const auto* placed = aEvent.AsTextPlaced()) {
     return TextPlaced{ UnpackId(placed->attempt, placed->attempt_text), placed->offset };
--- a/modules/settings/include/sycamore/settings/settings.h
+++ b/modules/settings/include/sycamore/settings/settings.h
@@ -47,6 +47,7 @@
   std::map<std::string, std::string> mRegionOfDomain; // Gateway: where replicas are.
   uint32_t mStorePartitions = 1;                      // Gateway: that a stream may have.
   base::Millis mStoreRetention{ 0 };                  // Gateway: of records; 0 if not told.
+  uint32_t mLinkMbits = 1;                            // Gateway: bandwidth of the machine's link.
   std::vector<world::Link> mLinks;                    // Entry.
   std::vector<TargetSettings> mTargets;               // Sidecar: at least one.
   uint32_t mPartitions = 8;                           // Entry; the same in all entries.
--- a/modules/settings/src/parse.cpp
+++ b/modules/settings/src/parse.cpp
@@ -165,6 +165,9 @@
   double storeRetentionSeconds = 0;
   aReader.Real("store_retention_s", 1, 1e9, storeRetentionSeconds);
   aOut.mStoreRetention = Millis(static_cast<int64_t>(storeRetentionSeconds * 1000));
+  double linkMbits = aOut.mLinkMbits;
+  aReader.Real("link_mbits", 1, 1e6, linkMbits);
+  aOut.mLinkMbits = static_cast<uint32_t>(linkMbits);
   double graceSeconds = 0;
   aReader.Real("stop_grace_s", 1, 86400, graceSeconds);
   if (graceSeconds > 0) {
