--- a/modules/ctl/src/bench_commands.cpp
+++ b/modules/ctl/src/bench_commands.cpp
@@ -160,18 +160,6 @@
   return base::TakeValue(std::move(endpoints));
 }
 
-static bool
-WriteFile(const std::string& aPath, std::string_view aText, const Terminal& aTerminal)
-{
-  std::ofstream file(aPath, std::ios::binary);
-  file << aText;
-  file.close();
-  if (!file) {
-    UsageError(aTerminal, fmt::format("{} cannot be written", aPath));
-  }
-  return static_cast<bool>(file);
-}
-
 static ExitCode
 WriteResults(const bench::Mix& aMix,
              const bench::RunRecord& aRecord,
--- a/modules/ctl/src/command.cpp
+++ b/modules/ctl/src/command.cpp
@@ -22,8 +22,12 @@
 {
   static const std::vector<Command> sCommands = [] {
     std::vector<Command> all;
-    for (auto group :
-         { ProgramCommands(), CallCommands(), TableCommands(), LocalCommands(), BenchCommands() }) {
+    for (auto group : { ProgramCommands(),
+                        CallCommands(),
+                        TableCommands(),
+                        LocalCommands(),
+                        BenchCommands(),
+                        CapacityCommands() }) {
       std::move(group.begin(), group.end(), std::back_inserter(all));
     }
     return all;
--- a/modules/ctl/src/flags.cpp
+++ b/modules/ctl/src/flags.cpp
@@ -45,9 +45,15 @@
 DEFINE_string(role, "", "Role of the engines.");
 DEFINE_bool(remove, false, "Remove the order instead of setting it.");
 
+DEFINE_string(gateways, "30,100,300", "Numbers of gateways, separated by commas.");
+DEFINE_double(turns_per_s, 5, "Turns per second at each gateway.");
+
 DEFINE_string(engines, "", "Addresses of stand-in engines whose counters are read.");
 DEFINE_string(tools, "", "Addresses of stand-in tools whose counters are read.");
-DEFINE_string(out, "", "Writes PREFIX.json, PREFIX.txt and PREFIX.html.");
+DEFINE_string(out,
+              "",
+              "Prefix of the files that are written: PREFIX.json, PREFIX.txt and PREFIX.html for "
+              "bench, PREFIX.svg for capacity store.");
 DEFINE_string(label, "run", "Name of the variant; runs with the same label are repetitions.");
 DEFINE_int64(seed, -1, "Seed of all random choices; -1 takes that of the mix.");
 DEFINE_double(duration_s, 0, "Time in which programs arrive; 0 takes that of the mix.");
--- a/modules/ctl/src/flags.h
+++ b/modules/ctl/src/flags.h
@@ -37,6 +37,9 @@
 DECLARE_string(role);
 DECLARE_bool(remove);
 
+DECLARE_string(gateways);
+DECLARE_double(turns_per_s);
+
 DECLARE_string(engines);
 DECLARE_string(tools);
 DECLARE_string(out);
--- a/modules/ctl/src/groups.h
+++ b/modules/ctl/src/groups.h
@@ -17,5 +17,7 @@
 LocalCommands();
 std::vector<Command>
 BenchCommands();
+std::vector<Command>
+CapacityCommands();
 
 }
--- a/modules/ctl/src/request.cpp
+++ b/modules/ctl/src/request.cpp
@@ -114,6 +114,18 @@
   return std::string{ std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
 }
 
+bool
+WriteFile(const std::string& aPath, std::string_view aText, const Terminal& aTerminal)
+{
+  std::ofstream file(aPath, std::ios::binary);
+  file << aText;
+  file.close();
+  if (!file) {
+    UsageError(aTerminal, fmt::format("{} cannot be written", aPath));
+  }
+  return static_cast<bool>(file);
+}
+
 std::string
 EncodeSegment(std::string_view aText)
 {
--- a/modules/ctl/src/request.h
+++ b/modules/ctl/src/request.h
@@ -37,6 +37,10 @@
 std::optional<std::string>
 ReadFile(const std::string& aPath, const Terminal& aTerminal);
 
+// Writes aText to a file; prints the fault and returns false if that fails.
+bool
+WriteFile(const std::string& aPath, std::string_view aText, const Terminal& aTerminal);
+
 // Percent-encodes a path segment.
 std::string
 EncodeSegment(std::string_view aText);
