Refuse an answer whose header is joined with that of another one

Cause: an answer that breaks off inside its header, with another answer behind it on the same connection, gives one valid header with two attempt ids. The first one was taken, and the body of the other call went to the caller with status 200.

Change: a header that names two attempts or carries two signatures fails the exchange; the call may have run.

--- a/modules/ctl/tests/capacity_command_test.cpp
+++ b/modules/ctl/tests/capacity_command_test.cpp
@@ -1,5 +1,6 @@
 #include "command_fixture.h"
 
+#include <boost/test/unit_test.hpp>
 #include <cstdio>
 #include <fstream>
 #include <iterator>
--- a/modules/gateway/include/sycamore/gateway/header_codec.h
+++ b/modules/gateway/include/sycamore/gateway/header_codec.h
@@ -44,6 +44,9 @@
   bool mSigned = false;  // Carries the replica's signature.
   bool mNotRun = false;  // States that the replica did not run the request.
   bool mEncoded = false; // The body has a content encoding.
+  // An identifying header occurs twice: an answer was cut off and another one follows in its
+  // header.
+  bool mAmbiguous = false;
   // The replica that sent the answer leaves; it takes no new calls.
   bool mLeaving = false;
   std::optional<uint64_t> mWeightVersion; // Of the model that generates the answer.
--- a/modules/gateway/src/replica_exchange.cpp
+++ b/modules/gateway/src/replica_exchange.cpp
@@ -180,6 +180,9 @@
     if (!co_await ReadHeader()) {
       co_return Interrupted(mError, "header");
     }
+    if (mHead.mAmbiguous) {
+      co_return Failed("the header of the answer is joined with that of another one");
+    }
     const bool isInterim =
       http::to_status_class(mParser->get().result()) == http::status_class::informational;
     if (!isInterim && IsOwnAnswer(skippedAnswers)) {
