--- a/modules/gateway/src/state_dump.cpp
+++ b/modules/gateway/src/state_dump.cpp
@@ -46,6 +46,23 @@
   return row;
 }
 
+// The aggregator of each partition of the programs' stream, as this gateway uses them now.
+static json::array
+AggregatorsJson(const Context& aContext)
+{
+  json::array rows;
+  for (uint32_t partition = 0; partition < aContext.mPrograms.PartitionCount(); ++partition) {
+    const auto path = aContext.mStore.AggregatorOf({ StreamName::Programs, partition });
+    json::object row{ { "partition", partition }, { "aggregator", nullptr } };
+    if (path) {
+      row["aggregator"] = path->mInstance;
+      row["own"] = path->mLocal != nullptr;
+    }
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
 std::string
 DumpState(const Context& aContext)
 {
@@ -72,7 +89,8 @@
     { "store",
       { { "reachable", aContext.mStore.Reachable() },
         { "down_for_all", aContext.mStore.DownForAll() },
-        { "since_success_ms", aContext.mStore.SinceSuccess().count() } } },
+        { "since_success_ms", aContext.mStore.SinceSuccess().count() },
+        { "aggregators", AggregatorsJson(aContext) } } },
     { "calls_open", gauges.mCallsOpen },
   };
   return json::serialize(dump);
--- a/modules/gateway/src/store_paths.h
+++ b/modules/gateway/src/store_paths.h
@@ -51,6 +51,12 @@
   // Whether this gateway is an aggregator of aStream, or the first to replace it.
   bool IsAggregatorCandidate(StreamId aStream) { return mAggregators.IsCandidate(aStream); }
 
+  // The aggregator that calls on aStream go through now; null if they go to the store.
+  std::shared_ptr<const AggregatorPaths::Path> AggregatorOf(StreamId aStream)
+  {
+    return mAggregators.For(aStream);
+  }
+
   // The direct path, on which the calls of peers run.
   LogStore& DirectForPeers() { return mDirectStore; }
 
