--- a/modules/gateway/src/store_paths.cpp
+++ b/modules/gateway/src/store_paths.cpp
@@ -12,10 +12,11 @@
 using base::ErrorKind;
 using base::Millis;
 
-// Backoff of a failing path, doubled up to the maximum: refused calls have a cost too.
+// Backoff of a failing path, doubled up to the maximum: refused calls have a cost too, but turns are
+// refused for as long after the store's return.
 static constexpr Millis kInitialBackoff{ 100 };
-static constexpr Millis kMaxBackoff{ 600 };
-static constexpr uint32_t kMaxDoublings = 3;
+static constexpr Millis kMaxBackoff{ 250 };
+static constexpr uint32_t kMaxDoublings = 2;
 // Timeout of a call on a path that failed before. An unresponsive path must not delay the others
 // for long; a remote store answers within 80 ms.
 static constexpr Millis kProbeTimeout{ 350 };
