--- a/modules/capacity/include/sycamore/capacity/store_load.h
+++ b/modules/capacity/include/sycamore/capacity/store_load.h
@@ -17,7 +17,7 @@
   }; // From the time at which a record is handed in to its acknowledgement.
   base::Millis mCommitP95{ 0 };
   base::Millis mReadLagP95{ 0 }; // From the append of a record until a reader has it.
-  double mReadShare = 0;         // Of the store's bandwidth; 1 if the reads take all of it.
+  double mReadShare = 0;         // Of the store's bandwidth; above 1 reads queue longer and longer.
 };
 
 // Simulates the calls of aFleet on the programs' stream for aDuration with a virtual clock, in
--- a/modules/gateway/src/store_paths.cpp
+++ b/modules/gateway/src/store_paths.cpp
@@ -12,8 +12,8 @@
 using base::ErrorKind;
 using base::Millis;
 
-// Backoff of a failing path, doubled up to the maximum: refused calls have a cost too, but turns are
-// refused for as long after the store's return.
+// Backoff of a failing path, doubled up to the maximum: refused calls have a cost too, but turns
+// are refused for as long after the store's return.
 static constexpr Millis kInitialBackoff{ 100 };
 static constexpr Millis kMaxBackoff{ 250 };
 static constexpr uint32_t kMaxDoublings = 2;
