Let a gateway that stops append its own records

Cause: an aggregator refused all calls once its process was stopping, its own among them, and a local aggregator's failure is final. Turns that such a gateway still served could not be recorded and were broken off at their deadline. Found while reading the change.

Change: the refusal is part of what a gateway does for others. AggregatorThatStopsAppendsItsOwnRecords failed before.

--- a/modules/gateway/src/aggregator.cpp
+++ b/modules/gateway/src/aggregator.cpp
@@ -23,21 +23,18 @@
 
 Aggregator::Aggregator(const boost::asio::any_io_executor& aExecutor,
                        LogStore& aStore,
-                       ProgramLogs& aLogs,
-                       std::function<bool()> aStopping)
+                       ProgramLogs& aLogs)
   : mExecutor(aExecutor)
   , mStore(aStore)
   , mLogs(aLogs)
-  , mStopping(std::move(aStopping))
 {
 }
 
 bool
 Aggregator::Serves(StreamId aStream) const
 {
-  const bool known = aStream.mName == StreamName::Texts ||
-                     (aStream.mName == StreamName::Programs && mLogs.Has(aStream.mPartition));
-  return known && !mStopping();
+  return aStream.mName == StreamName::Texts ||
+         (aStream.mName == StreamName::Programs && mLogs.Has(aStream.mPartition));
 }
 
 RecordWriter&
--- a/modules/gateway/src/aggregator.h
+++ b/modules/gateway/src/aggregator.h
@@ -5,7 +5,6 @@
 #include "sycamore/gateway/log_store.h"
 
 #include <boost/asio/any_io_executor.hpp>
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -21,12 +20,8 @@
 class Aggregator : public LogStore
 {
 public:
-  // aStore is a path to the store that uses no aggregator, so that calls never form a loop. Calls
-  // are refused while aStopping, so that their callers turn to another gateway in time.
-  Aggregator(const boost::asio::any_io_executor& aExecutor,
-             LogStore& aStore,
-             ProgramLogs& aLogs,
-             std::function<bool()> aStopping);
+  // aStore is a path to the store that uses no aggregator, so that calls never form a loop.
+  Aggregator(const boost::asio::any_io_executor& aExecutor, LogStore& aStore, ProgramLogs& aLogs);
 
   // Streams of programs and texts only; one record a call in the stream of texts.
   Async<Appended> Append(StreamId aStream,
@@ -44,14 +39,13 @@
   Async<StreamSnapshot> Newest(StreamId aStream, base::Millis aTimeout) override;
 
 private:
-  // Whether calls on aStream are served now.
+  // Whether calls on aStream are served.
   bool Serves(StreamId aStream) const;
   RecordWriter& WriterOf(StreamId aStream);
 
   boost::asio::any_io_executor mExecutor;
   LogStore& mStore;
   ProgramLogs& mLogs;
-  std::function<bool()> mStopping;
   std::map<StreamId, std::unique_ptr<RecordWriter>> mWriters;
 };
 
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -58,12 +58,10 @@
         std::make_unique<MeasuredStore>(mAdapters.mMakeLogStore(mLoop.get_executor()), mMetrics),
         mOwn)
     , mContext(mLoop.get_executor(), mStore, *mAdapters.mHeaderCodec, mMetrics, mSettings)
-    , mAggregator(mLoop.get_executor(),
-                  mStore.ForAggregator(),
-                  mContext.mPrograms,
-                  [this] { return mContext.mStopping; })
+    , mAggregator(mLoop.get_executor(), mStore.ForAggregator(), mContext.mPrograms)
     , mRelayServices{ mStore.DirectForPeers(),
                       mAggregator,
+                      [this] { return mContext.mStopping; },
                       [this](const std::string& aAttempt) {
                         return mContext.mTexts.FindRecord(aAttempt);
                       } }
--- a/modules/gateway/src/relay_server.cpp
+++ b/modules/gateway/src/relay_server.cpp
@@ -39,6 +39,11 @@
   if (aRequest.operation == wire::RelayOperation::Text) {
     co_return TextMessage(aServices.mFindText(aRequest.key));
   }
+  if (aRequest.shared && aServices.mStopping()) {
+    const base::Result<Appended> refused =
+      base::Error{ base::ErrorKind::LogUnavailable, "the aggregator is stopping", "" };
+    co_return ToMessage(refused);
+  }
   LogStore& store = aRequest.shared ? aServices.mAggregator : aServices.mDirect;
   const Millis timeout(std::min(aRequest.timeout_ms, kMaxTimeoutMs));
   const auto stream = StreamOf(aRequest);
--- a/modules/gateway/src/relay_server.h
+++ b/modules/gateway/src/relay_server.h
@@ -17,6 +17,8 @@
   LogStore& mDirect;
   // Serves the partitions that this gateway aggregates.
   LogStore& mAggregator;
+  // Whether this gateway stops: it aggregates nothing any more, so that others turn away in time.
+  std::function<bool()> mStopping;
   // The record of a turn's text if it is in memory.
   std::function<std::optional<std::string>(const std::string&)> mFindText;
 };
--- a/modules/gateway/tests/aggregator_test.cpp
+++ b/modules/gateway/tests/aggregator_test.cpp
@@ -195,6 +195,18 @@
   BOOST_TEST((base::Clock::now() - begin < base::Millis(150)));
 }
 
+// Guards against turns that are broken off by a planned stop: the gateway that stops records those
+// that it still serves, also where it is the aggregator itself.
+BOOST_FIXTURE_TEST_CASE(AggregatorThatStopsAppendsItsOwnRecords, AggregatorFixture)
+{
+  AddNodes(2);
+  StartAll();
+  Aggregating().mStopping = true;
+  Spawn(Append(Aggregating(), "t"));
+  RunUntil([&] { return mAppended + mFailed == 1; });
+  BOOST_TEST(mAppended == 1U);
+}
+
 // Guards against a gateway that takes the part of the history that its aggregator has loaded so far
 // for the whole: it would answer "no such turn" or grant a budget that is spent.
 BOOST_FIXTURE_TEST_CASE(AggregatorThatIsLoadingIsNotTakenAsComplete, AggregatorFixture)
--- a/modules/gateway/tests/gateway_node.h
+++ b/modules/gateway/tests/gateway_node.h
@@ -86,10 +86,11 @@
     , mStore(new NodeStore(aShared))
     , mPaths(aLoop.get_executor(), std::unique_ptr<LogStore>(mStore), mOwn)
     , mLogs(aLoop.get_executor(), mPaths, aPartitions)
-    , mAggregator(aLoop.get_executor(), mPaths.ForAggregator(), mLogs, [this] { return mStopping; })
-    , mServices{ mPaths.DirectForPeers(), mAggregator, [](const std::string&) {
-                  return std::optional<std::string>();
-                } }
+    , mAggregator(aLoop.get_executor(), mPaths.ForAggregator(), mLogs)
+    , mServices{ mPaths.DirectForPeers(),
+                 mAggregator,
+                 [this] { return mStopping; },
+                 [](const std::string&) { return std::optional<std::string>(); } }
   {
     mPaths.SetAggregator(mAggregator);
     for (uint32_t i = 0; i < aPartitions; ++i) {
--- a/modules/gateway/tests/store_paths_test.cpp
+++ b/modules/gateway/tests/store_paths_test.cpp
@@ -23,6 +23,7 @@
   FakeLogStore mNoAggregator;
   const RelayServices mServices{ mPeer.DirectForPeers(),
                                  mNoAggregator,
+                                 [] { return false; },
                                  [](const std::string& aAttempt) {
                                    return aAttempt == "known" ? std::optional<std::string>("text")
                                                               : std::nullopt;
