Name the model's batching figures; find aggregated partitions in one place

From reading the whole change again; behaviour stays as it is.

- The model of the store's load had the figures of both collections without names or units.
- The loop over the partitions that a gateway aggregates stood twice in gateway.cpp.

--- a/modules/capacity/src/store_load.cpp
+++ b/modules/capacity/src/store_load.cpp
@@ -64,13 +64,23 @@
 
 }
 
+// Without aggregators a gateway had one append under way and read less often the more partitions
+// there were.
+static constexpr Time kGatewayBatchMs = 25;
+static constexpr size_t kGatewayInFlight = 1;
+static constexpr Time kGatewayReadIntervalMs = 40; // Times the number of partitions.
+// As in the gateway module's Aggregator and ProgramLog.
+static constexpr Time kAggregatorBatchMs = 20;
+static constexpr size_t kAggregatorInFlight = 2;
+static constexpr Time kAggregatorReadIntervalMs = 30;
+
 static Batching
 BatchingOf(const FleetModel& aFleet, const StoreModel& aStore)
 {
   if (aFleet.mCollection == Collection::EachGateway) {
-    return { 25, 1, 40.0 * aStore.mPartitions };
+    return { kGatewayBatchMs, kGatewayInFlight, kGatewayReadIntervalMs * aStore.mPartitions };
   }
-  return { 20, 2, 30 };
+  return { kAggregatorBatchMs, kAggregatorInFlight, kAggregatorReadIntervalMs };
 }
 
 // One writer and one reader for each caller of the store and partition; that of caller c and
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -100,6 +100,9 @@
   boost::asio::awaitable<void> AnswerReadiness(CallerLink& aLink, CallerRequest aRequest);
   boost::asio::awaitable<void> AnswerStatus(CallerLink& aLink, CallerRequest aRequest);
   boost::asio::awaitable<void> AcceptPeers();
+  // The partitions of the programs' stream that this gateway aggregates, or is the first to take
+  // over.
+  std::set<uint32_t> AggregatedPartitions();
   // Keeps the records of partitions that other gateways may read here.
   void KeepRecordsForOthers();
   boost::asio::awaitable<void> RunPrograms();
@@ -236,12 +239,25 @@
   }
 }
 
+std::set<uint32_t>
+Gateway::Impl::AggregatedPartitions()
+{
+  std::set<uint32_t> aggregated;
+  for (uint32_t partition = 0; partition < mContext.mPrograms.PartitionCount(); ++partition) {
+    if (mStore.IsAggregatorCandidate({ StreamName::Programs, partition })) {
+      aggregated.insert(partition);
+    }
+  }
+  return aggregated;
+}
+
 void
 Gateway::Impl::KeepRecordsForOthers()
 {
+  const std::set<uint32_t> aggregated = AggregatedPartitions();
   for (uint32_t partition = 0; partition < mContext.mPrograms.PartitionCount(); ++partition) {
-    const bool candidate = mStore.IsAggregatorCandidate({ StreamName::Programs, partition });
-    mContext.mPrograms.At(partition).SetKeptBytes(candidate ? kAggregatorKeptBytes : kKeptBytes);
+    const size_t bytes = aggregated.contains(partition) ? kAggregatorKeptBytes : kKeptBytes;
+    mContext.mPrograms.At(partition).SetKeptBytes(bytes);
   }
 }
 
@@ -253,12 +269,7 @@
   if (!known) {
     base::Log(LogEvent::LogReadFailed, "members: the history is loaded without aggregators");
   }
-  std::set<uint32_t> aggregated;
-  for (uint32_t partition = 0; partition < mContext.mPrograms.PartitionCount(); ++partition) {
-    if (mStore.IsAggregatorCandidate({ StreamName::Programs, partition })) {
-      aggregated.insert(partition);
-    }
-  }
+  std::set<uint32_t> aggregated = AggregatedPartitions();
   co_await mContext.mPrograms.Run(std::move(aggregated));
 }
 
