Log the request limits that replicas name

Change: the adapter decodes the header into the answer's head; a gateway logs a limit that is new, changed or no longer named. A value that is not a number is logged and changes nothing. Routing does not use it yet.

--- a/modules/base/include/sycamore/base/log_event.h
+++ b/modules/base/include/sycamore/base/log_event.h
@@ -73,6 +73,7 @@
   DrainFinished = 703,
   ReplicaAvoided = 704,
   ReplicaRestored = 705,
+  ReplicaLimited = 706,
   BenchStarted = 800,
   BenchFinished = 801,
   StandinStarted = 810,
--- a/modules/base/src/log_event.cpp
+++ b/modules/base/src/log_event.cpp
@@ -61,6 +61,7 @@
   { LogEvent::DrainFinished, "drain_finished", LogLevel::Info },
   { LogEvent::ReplicaAvoided, "replica_avoided", LogLevel::Warning },
   { LogEvent::ReplicaRestored, "replica_restored", LogLevel::Info },
+  { LogEvent::ReplicaLimited, "replica_limited", LogLevel::Info },
   { LogEvent::BenchStarted, "bench_started", LogLevel::Info },
   { LogEvent::BenchFinished, "bench_finished", LogLevel::Info },
   { LogEvent::StandinStarted, "standin_started", LogLevel::Info },
--- a/modules/gateway/include/sycamore/gateway/header_codec.h
+++ b/modules/gateway/include/sycamore/gateway/header_codec.h
@@ -50,6 +50,10 @@
   // The replica that sent the answer leaves; it takes no new calls.
   bool mLeaving = false;
   std::optional<uint64_t> mWeightVersion; // Of the model that generates the answer.
+  // Requests a second that the replica takes from all gateways together; nothing if it names no
+  // limit. Not negative.
+  std::optional<double> mRequestLimit;
+  bool mRequestLimitInvalid = false; // It names a limit that is not a number.
   std::optional<ReportedLoad> mLoad;
   std::optional<base::Millis> mIdleTimeout; // After which the replica closes the connection.
 };
--- a/modules/gateway/src/replica_exchange.cpp
+++ b/modules/gateway/src/replica_exchange.cpp
@@ -101,6 +101,7 @@
   ExchangeResult Failed(std::string aDetail) const;
   void NoteLoad();
   void NoteLeaving();
+  void NoteRequestLimit();
   void ReleaseConnection();
   http::response_header<> ForwardedHeader() const;
 
@@ -186,6 +187,7 @@
     const bool isInterim =
       http::to_status_class(mParser->get().result()) == http::status_class::informational;
     if (!isInterim && IsOwnAnswer(skippedAnswers)) {
+      NoteRequestLimit();
       co_return co_await ReadAnswer();
     }
     if (!isInterim && mHead.mAttempt.empty()) {
@@ -241,6 +243,31 @@
   }
 }
 
+void
+Exchange::NoteRequestLimit()
+{
+  // The answer to a call that expected another replica comes from a new owner of the address.
+  if (mParser->get().result() == http::status::misdirected_request) {
+    return;
+  }
+  if (mHead.mRequestLimitInvalid) {
+    base::Log(base::LogEvent::ReplicaLimited,
+              "replica={} attempt={} names a limit that is not a number",
+              mState->mReplica.mId,
+              mAttempt);
+    return;
+  }
+  const auto before = std::exchange(mState->mRequestLimit, mHead.mRequestLimit);
+  if (before != mHead.mRequestLimit) {
+    base::Log(base::LogEvent::ReplicaLimited,
+              "replica={} attempt={} limit_per_s={:.2f} before={:.2f} source=answer",
+              mState->mReplica.mId,
+              mAttempt,
+              mHead.mRequestLimit.value_or(-1),
+              before.value_or(-1));
+  }
+}
+
 void
 Exchange::NoteLoad()
 {
