Count only calls in flight for a replica that never reports its load

Cause: the calls sent since the last report count as load until the next one. Replicas of services without load in their answers never report, so that each counted all calls that it ever had (22,000 in the log of a test). While all have the same number that changes nothing; a replica that gets fewer calls, as one that limits them, then looks idle beside the others and was waited for. Change: without any report only the calls in flight count.

--- a/modules/gateway/src/replica_choice.cpp
+++ b/modules/gateway/src/replica_choice.cpp
@@ -84,8 +84,9 @@
   for (const ReplicaView& replica : aReplicas) {
     const double mean = regions[replica.mRegion].Mean() * replica.mSlots;
     const double trust = Trust(replica);
-    const double load =
-      trust * ReportedCalls(replica) + (1 - trust) * mean + replica.mSentSinceReport;
+    // A replica that never reports would otherwise count all calls that it ever had.
+    const uint32_t sent = replica.mLoad ? replica.mSentSinceReport : 0;
+    const double load = trust * ReportedCalls(replica) + (1 - trust) * mean + sent;
     loads.push_back(std::max<double>(load, replica.mInFlight));
   }
   return loads;
