Share the request limit of a replica among few gateways, and tell all of it

Cause: nothing read the limit. The class of fault is a rule for all gateways together that no gateway can keep from what it hears itself: two gateways sent 26 and 36 requests in 4 s to a replica that allowed 30, so that each alone exceeded the limit, and keeping to it one by one would still allow as many times the limit as there are gateways. Change: gateways share facts over their peer addresses, through one hub in each failure domain and without the store (fact_exchange, shared_facts). A limit is such a fact. It is shared by as many gateways of the replica's region as can each have a request a second (request_quota), so that the sum is the limit with 7 gateways and with 330, and a join changes one share. The wait for a share counts as delay when a replica is chosen; a call whose turn would come too late everywhere is refused at once.

--- a/modules/gateway/include/sycamore/gateway/replica_choice.h
+++ b/modules/gateway/include/sycamore/gateway/replica_choice.h
@@ -26,6 +26,7 @@
   uint64_t mKeptTokens = 0;        // Of the prompt, which its cache is assumed to hold.
   uint32_t mRecentFailures = 0;    // Consecutive failures of this process's calls.
   base::Millis mSinceFailure{ 0 }; // Since the last of them.
+  base::Millis mQuotaDelay{ 0 };   // Until its request limit allows another call.
 };
 
 // The replica that a call goes to.
--- a/modules/gateway/src/context.h
+++ b/modules/gateway/src/context.h
@@ -3,7 +3,9 @@
 #include "metrics.h"
 #include "program_budgets.h"
 #include "program_logs.h"
+#include "replica_limits.h"
 #include "replica_pool.h"
+#include "shared_facts.h"
 #include "shared_prompts.h"
 #include "store_paths.h"
 #include "sycamore/base/random.h"
@@ -58,6 +60,10 @@
              [&aStore](uint32_t aWriter, std::string aAttempt) {
                return aStore.TextFrom(aWriter, std::move(aAttempt));
              })
+    , mFacts(aExecutor)
+    , mLimits(mFacts,
+              { aSettings.mInstance, aSettings.mPeer, aSettings.mDomain, aSettings.mLinkMbits },
+              [this](const std::string& aDomain) { return RegionOf(aDomain); })
     , mWriterHash(WriterHash(aSettings.mInstance))
   {
   }
@@ -88,6 +94,8 @@
   ProgramLogs mPrograms;
   ProgramBudgets mBudgets;
   TurnTexts mTexts;
+  SharedFacts mFacts;
+  ReplicaLimits mLimits;
   const uint32_t mWriterHash; // Of this instance.
   bool mStopping = false;
   size_t mCallsOpen = 0;
--- a/modules/gateway/src/dispatcher.cpp
+++ b/modules/gateway/src/dispatcher.cpp
@@ -1,11 +1,13 @@
 #include "dispatcher.h"
 
+#include "async.h"
 #include "elapsed.h"
 #include "prompt_affinity.h"
 #include "sycamore/base/log.h"
 #include "sycamore/gateway/replica_choice.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 #include <vector>
 
@@ -20,6 +22,11 @@
 // Sends of one call after failures. A stream that breaks this often is more likely to break again
 // than to end.
 static constexpr uint32_t kMaxContinuations = 3;
+// Longest wait for a replica that limits its requests; a call whose turn would come later goes to
+// another replica, or is refused at once.
+static constexpr Millis kMaxQuotaDelay{ 500 };
+// The wait is at most the time that the call has left divided by this.
+static constexpr int kQuotaDelayDivisor = 3;
 
 namespace {
 
@@ -28,10 +35,21 @@
   ReplicaStatePtr mState; // Null if no replica is left to try.
   double mAssumedLoad = 0;
   uint64_t mKeptTokens = 0; // Of the prompt, as assumed.
+  Millis mQuotaDelay{ 0 };  // Until its request limit allows the call.
+  size_t mLimited = 0;      // Other replicas whose request limits do not allow the call in time.
 };
 
 }
 
+// Time until the request limit of aReplica allows aCall; nothing if that is too late.
+static std::optional<Millis>
+QuotaDelay(Context& aContext, const Call& aCall, const Replica& aReplica, base::TimePoint aNow)
+{
+  const auto delay = aContext.mLimits.DelayOf(aReplica, aNow);
+  const auto limit = std::min(kMaxQuotaDelay, Until(aCall.mDeadline) / kQuotaDelayDivisor);
+  return delay && *delay <= std::max(limit, Millis(0)) ? delay : std::nullopt;
+}
+
 static ChosenReplica
 Choose(Context& aContext,
        const Call& aCall,
@@ -42,14 +60,21 @@
   const std::vector<PromptPart>& prompt = aCall.mHead.mPrompt;
   std::vector<ReplicaStatePtr> states;
   std::vector<ReplicaView> views;
+  size_t limited = 0;
   for (const Replica* replica : aContext.mReplicas.Usable(aCall.mServiceName, now)) {
     if (aTried.contains(replica->mId)) {
       continue;
     }
+    const auto quotaDelay = QuotaDelay(aContext, aCall, *replica, now);
+    if (!quotaDelay) {
+      ++limited;
+      continue;
+    }
     states.push_back(aContext.mPool.StateOf(*replica));
     ReplicaView view = ViewOf(*states.back(), now);
     view.mRegion = aContext.RegionOf(replica->mDomain);
     view.mSameRegion = view.mRegion == aContext.mRegion;
+    view.mQuotaDelay = *quotaDelay;
     view.mKeptTokens = replica->mId == aHint.mPrefixReplica
                          ? aHint.mPromptTokens
                          : states.back()->mPrompts.KeptTokens(prompt);
@@ -65,9 +90,12 @@
   }
   const auto choice = ChooseReplica(views, aHint.mPromptTokens, aContext.mTieBreak++);
   if (!choice) {
-    return {};
+    return { nullptr, 0, 0, Millis(0), limited };
   }
-  return { states[choice->mIndex], choice->mAssumedLoad, views[choice->mIndex].mKeptTokens };
+  const ReplicaView& view = views[choice->mIndex];
+  return {
+    states[choice->mIndex], choice->mAssumedLoad, view.mKeptTokens, view.mQuotaDelay, limited
+  };
 }
 
 // The request to aReplica, without hop-by-hop headers.
@@ -178,6 +206,18 @@
            {} };
 }
 
+// Takes the call's turn under the request limit of its replica and waits for it. False if the
+// caller has gone meanwhile.
+static boost::asio::awaitable<bool>
+AwaitQuota(Context& aContext, CallerLink& aLink, const ChosenReplica& aChosen)
+{
+  aContext.mLimits.Take(aChosen.mState->mReplica, base::Clock::now());
+  if (aChosen.mQuotaDelay > Millis(0)) {
+    co_await SleepFor(aChosen.mQuotaDelay);
+  }
+  co_return !aLink.Gone();
+}
+
 // Records what the replica of aChosen has read of the prompt.
 static void
 NotePrompt(const Call& aCall, const ChosenReplica& aChosen, ExchangeStatus aStatus)
@@ -209,6 +249,11 @@
     result.mReplica = replica.mId;
     aCall.mTrace.mLastReplica = TraceOf(chosen, aHint);
     sends.mTried.insert(replica.mId);
+    const bool wanted = co_await AwaitQuota(aContext, aLink, chosen);
+    if (!wanted) {
+      result.mExchange = { ExchangeStatus::CallerGone, false, {}, "the caller disconnected" };
+      break;
+    }
     result.mExchange = co_await RunExchange(aContext,
                                             aLink,
                                             chosen.mState,
@@ -221,6 +266,8 @@
     if (result.mExchange.mSent) {
       ++result.mSends;
       sends.mCounts.insert(replica.mId);
+    } else {
+      aContext.mLimits.Return(replica, base::Clock::now());
     }
     result.mMayHaveRun = result.mMayHaveRun || result.mExchange.mStatus == ExchangeStatus::Failed;
     aContext.mMetrics.NoteReplicaTry(StatusName(result.mExchange.mStatus));
@@ -245,7 +292,18 @@
     }
     if (next == NextStep::AnotherReplica) {
       chosen = Choose(aContext, aCall, aHint, sends.mTried);
+      continue;
     }
+    const auto delay = QuotaDelay(aContext, aCall, replica, base::Clock::now());
+    if (!delay) {
+      break;
+    }
+    chosen.mQuotaDelay = *delay;
+  }
+  if (!chosen.mState && chosen.mLimited > 0 && result.mSends == 0) {
+    result.mExchange.mDetail =
+      fmt::format("{} replicas are at their request limits", chosen.mLimited);
+    result.mAtLimit = true;
   }
   aCall.mTrace.mReplica = Since(begin);
   co_return result;
@@ -256,7 +314,8 @@
 {
   switch (aResult.mMayHaveRun ? ExchangeStatus::Failed : aResult.mExchange.mStatus) {
     case ExchangeStatus::NotRun:
-      return { aResult.mSends == 0 ? ErrorKind::NoTarget : ErrorKind::Overloaded,
+      return { aResult.mSends == 0 && !aResult.mAtLimit ? ErrorKind::NoTarget
+                                                        : ErrorKind::Overloaded,
                "no replica ran the call: " + aResult.mExchange.mDetail,
                "" };
     case ExchangeStatus::Expired:
--- a/modules/gateway/src/dispatcher.h
+++ b/modules/gateway/src/dispatcher.h
@@ -24,6 +24,7 @@
   std::string mReplica;     // The last one that was tried.
   uint32_t mSends = 0;      // To replicas.
   bool mMayHaveRun = false; // At one of them, without a usable answer.
+  bool mAtLimit = false;    // Replicas were left, but their request limits allowed no call.
 };
 
 // Sends aCall with aBody to replicas, one after the other, until one has run it or may have run it.
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -5,6 +5,7 @@
 #include "call_runner.h"
 #include "caller_session.h"
 #include "context.h"
+#include "fact_exchange.h"
 #include "measured_store.h"
 #include "membership.h"
 #include "relay_server.h"
@@ -59,19 +60,28 @@
         mOwn)
     , mContext(mLoop.get_executor(), mStore, *mAdapters.mHeaderCodec, mMetrics, mSettings)
     , mAggregator(mLoop.get_executor(), mStore.ForAggregator(), mContext.mPrograms)
-    , mRelayServices{ mStore.DirectForPeers(),
-                      mAggregator,
-                      [this] { return mContext.mStopping; },
-                      [this](const std::string& aAttempt) {
-                        return mContext.mTexts.FindRecord(aAttempt);
-                      } }
+    , mFactExchange(mLoop.get_executor(),
+                    mContext.mFacts,
+                    mOwn,
+                    [this] { return mContext.mStopping; })
+    , mRelayServices{
+      mStore.DirectForPeers(),
+      mAggregator,
+      [this] { return mContext.mStopping; },
+      [this](const std::string& aAttempt) { return mContext.mTexts.FindRecord(aAttempt); },
+      [this](const wire::RelayRequestT& aRequest) { return mFactExchange.Serve(aRequest); }
+    }
     , mCallers(mLoop)
     , mPeers(mLoop)
     , mReadiness(mLoop)
     , mStatus(mLoop)
   {
     mStore.SetAggregator(mAggregator);
-    mStore.OnMembersChanged([this] { KeepRecordsForOthers(); });
+    mStore.OnMembersChanged([this](const std::vector<Member>& aMembers) {
+      KeepRecordsForOthers();
+      mFactExchange.SetMembers(aMembers);
+      mContext.mLimits.SetMembers(aMembers);
+    });
     KeepRecordsForOthers();
     mContext.mRegion = mSettings.mRegion;
     mContext.mRegionOfDomain = mSettings.mRegionOfDomain;
@@ -125,6 +135,7 @@
   StorePaths mStore;
   Context mContext;
   Aggregator mAggregator;
+  FactExchange mFactExchange;
   const RelayServices mRelayServices;
   SessionPolicy mPolicy;
   CallHandler mCallHandler;
@@ -195,6 +206,7 @@
   Spawn(RunPrograms());
   Spawn(mContext.mBudgets.Run());
   Spawn(mContext.mTexts.Run());
+  Spawn(mFactExchange.Run());
   Spawn(Cleanup());
   Spawn(AcceptPeers());
   Spawn(KeepMembership(mStore, mOwn));
@@ -403,7 +415,9 @@
 {
   for (;;) {
     co_await SleepFor(kCleanupInterval);
-    mContext.mPool.Retain(mContext.mReplicas.Ids());
+    const std::vector<std::string> listed = mContext.mReplicas.Ids();
+    mContext.mPool.Retain(listed);
+    mContext.mLimits.Retain(listed);
   }
 }
 
--- a/modules/gateway/src/metrics.cpp
+++ b/modules/gateway/src/metrics.cpp
@@ -84,6 +84,9 @@
   prometheus::Gauge& mListAge{ Gauge("replica_list_age_seconds",
                                      "Since the replica list was last confirmed") };
   prometheus::Gauge& mReplicas{ Gauge("replicas", "Replicas listed") };
+  prometheus::Gauge& mLimitedReplicas{ Gauge("limited_replicas",
+                                             "Replicas that name a request limit") };
+  prometheus::Gauge& mFacts{ Gauge("facts", "Facts known, those of other gateways included") };
   prometheus::Gauge& mPrograms{ Gauge("programs", "Programs known") };
   prometheus::Gauge& mTurns{ Gauge("turns", "Turns that can be continued") };
   prometheus::Gauge& mTextBytes{ Gauge("text_bytes", "Texts of turns in memory") };
@@ -174,6 +177,8 @@
   mImpl->mVersionAge.Set(ToSeconds(aGauges.mConfigurationAge));
   mImpl->mListAge.Set(ToSeconds(aGauges.mReplicaListAge));
   mImpl->mReplicas.Set(static_cast<double>(aGauges.mReplicas));
+  mImpl->mLimitedReplicas.Set(static_cast<double>(aGauges.mLimitedReplicas));
+  mImpl->mFacts.Set(static_cast<double>(aGauges.mFacts));
   mImpl->mPrograms.Set(static_cast<double>(aGauges.mPrograms));
   mImpl->mTurns.Set(static_cast<double>(aGauges.mTurns));
   mImpl->mTextBytes.Set(static_cast<double>(aGauges.mTextBytes));
--- a/modules/gateway/src/metrics.h
+++ b/modules/gateway/src/metrics.h
@@ -38,6 +38,8 @@
   base::Millis mConfigurationAge{ 0 };
   base::Millis mReplicaListAge{ 0 };
   size_t mReplicas = 0;
+  size_t mLimitedReplicas = 0; // That name a request limit.
+  size_t mFacts = 0;           // Own ones and those of other gateways.
   size_t mPrograms = 0;
   size_t mTurns = 0;
   size_t mTextBytes = 0; // Of the texts of turns in memory.
--- a/modules/gateway/src/relay_client.cpp
+++ b/modules/gateway/src/relay_client.cpp
@@ -166,6 +166,32 @@
   co_return AnswerOf(response, SnapshotOf);
 }
 
+LogStore::Async<RelayClient::FactsAnswer>
+RelayClient::Facts(FactsRequest aRequest, Millis aTimeout)
+{
+  wire::RelayRequestT request;
+  request.operation = wire::RelayOperation::Facts;
+  request.stream = kStreamCount; // A gateway that does not know the operation refuses the stream.
+  request.epoch = aRequest.mEpoch;
+  request.from = aRequest.mFrom;
+  request.wait_ms = static_cast<uint32_t>(aRequest.mWait.count());
+  for (const std::string& record : aRequest.mRecords) {
+    AddRecord(record, request);
+  }
+  const auto response = co_await Call(std::move(request), aTimeout);
+  const auto page = AnswerOf(response, PageOf);
+  if (!base::IsOk(page)) {
+    co_return base::ErrorOf(page);
+  }
+  FactsAnswer answer;
+  answer.mEpoch = base::ValueOf(response).epoch;
+  answer.mNext = base::ValueOf(page).mNext;
+  for (const StreamRecord& record : base::ValueOf(page).mRecords) {
+    answer.mRecords.push_back(record.mValue.value_or(""));
+  }
+  co_return answer;
+}
+
 LogStore::Async<std::optional<std::string>>
 RelayClient::Text(std::string aAttempt, Millis aTimeout)
 {
--- a/modules/gateway/src/relay_client.h
+++ b/modules/gateway/src/relay_client.h
@@ -34,6 +34,25 @@
   // The record of the text of a turn, if the peer has it in memory. Errors as of a read.
   Async<std::optional<std::string>> Text(std::string aAttempt, base::Millis aTimeout);
 
+  // Facts for the peer, and what is asked of it.
+  struct FactsRequest
+  {
+    std::vector<std::string> mRecords; // To tell; if there are any, nothing is asked.
+    uint64_t mEpoch = 0;               // Of the peer's facts, as last heard.
+    uint64_t mFrom = 0;                // Number of the first fact that is asked for.
+    base::Millis mWait{ 0 };           // For news.
+  };
+
+  struct FactsAnswer
+  {
+    std::vector<std::string> mRecords;
+    uint64_t mEpoch = 0;
+    uint64_t mNext = 0; // Number to go on from.
+  };
+
+  // Exchanges facts; see FactExchange. Errors as of a read.
+  Async<FactsAnswer> Facts(FactsRequest aRequest, base::Millis aTimeout);
+
   // Ends all calls in progress at once, as if their connections were lost.
   void Abort();
 
--- a/modules/gateway/src/relay_server.cpp
+++ b/modules/gateway/src/relay_server.cpp
@@ -39,6 +39,9 @@
   if (aRequest.operation == wire::RelayOperation::Text) {
     co_return TextMessage(aServices.mFindText(aRequest.key));
   }
+  if (aRequest.operation == wire::RelayOperation::Facts) {
+    co_return co_await aServices.mFacts(aRequest);
+  }
   if (aRequest.shared && aServices.mStopping()) {
     const base::Result<Appended> refused =
       base::Error{ base::ErrorKind::LogUnavailable, "the aggregator is stopping", "" };
@@ -69,7 +72,8 @@
       co_return ToMessage(co_await store.Read(*stream, range, timeout));
     }
     case wire::RelayOperation::Newest:
-    case wire::RelayOperation::Text: // Answered above.
+    case wire::RelayOperation::Text: // Answered above, as the next one.
+    case wire::RelayOperation::Facts:
       break;
   }
   co_return ToMessage(co_await store.Newest(*stream, timeout));
--- a/modules/gateway/src/relay_server.h
+++ b/modules/gateway/src/relay_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sycamore/gateway/log_store.h"
+#include "sycamore/wire/store_relay_generated.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -21,6 +22,8 @@
   std::function<bool()> mStopping;
   // The record of a turn's text if it is in memory.
   std::function<std::optional<std::string>(const std::string&)> mFindText;
+  // Answers a request with operation Facts.
+  std::function<boost::asio::awaitable<wire::RelayResponseT>(const wire::RelayRequestT&)> mFacts;
 };
 
 // Serves one connection of another gateway, one call at a time, until the connection ends.
--- a/modules/gateway/src/replica_choice.cpp
+++ b/modules/gateway/src/replica_choice.cpp
@@ -128,7 +128,7 @@
   if (IsAvoided(aReplica)) {
     delay += kAvoidancePenalty;
   }
-  return delay;
+  return delay + aReplica.mQuotaDelay;
 }
 
 std::optional<ReplicaChoice>
--- a/modules/gateway/src/replica_exchange.cpp
+++ b/modules/gateway/src/replica_exchange.cpp
@@ -111,6 +111,7 @@
   CallerRequest mRequest;
   const std::string& mAttempt;
   base::TimePoint mDeadline;
+  base::TimePoint mSentAt;
   StreamSink* mSink;
   ReplicaConnectionPtr mConnection;
   std::unique_ptr<AnswerParser> mParser;
@@ -173,6 +174,7 @@
   }
   mLink.SetGoneHandler([this] { mConnection->mStream.cancel(); });
   mConnection->mStream.expires_at(mDeadline);
+  mSentAt = base::Clock::now();
   const auto [error, bytes] = co_await http::async_write(mConnection->mStream, mRequest, kAsTuple);
   if (error) {
     co_return Interrupted(error, "send");
@@ -257,15 +259,7 @@
               mAttempt);
     return;
   }
-  const auto before = std::exchange(mState->mRequestLimit, mHead.mRequestLimit);
-  if (before != mHead.mRequestLimit) {
-    base::Log(base::LogEvent::ReplicaLimited,
-              "replica={} attempt={} limit_per_s={:.2f} before={:.2f} source=answer",
-              mState->mReplica.mId,
-              mAttempt,
-              mHead.mRequestLimit.value_or(-1),
-              before.value_or(-1));
-  }
+  mContext.mLimits.NoteAnswer(mState->mReplica, mHead.mRequestLimit, mSentAt);
 }
 
 void
--- a/modules/gateway/src/replica_pool.h
+++ b/modules/gateway/src/replica_pool.h
@@ -30,7 +30,6 @@
   uint32_t mSentSinceReport = 0; // Calls sent after mLoad arrived.
   uint32_t mRecentFailures = 0;
   base::TimePoint mLastFailure;
-  std::optional<double> mRequestLimit; // Requests a second, as named in its last answer.
   PromptCache mPrompts;
   std::vector<ReplicaConnectionPtr> mIdle; // The most recently used one last.
 };
--- a/modules/gateway/src/state_dump.cpp
+++ b/modules/gateway/src/state_dump.cpp
@@ -18,6 +18,8 @@
   gauges.mConfigurationAge = Since(aContext.mRoutesConfirmedAt);
   gauges.mReplicaListAge = Since(aContext.mReplicasConfirmedAt);
   gauges.mReplicas = aContext.mReplicas.Size();
+  gauges.mLimitedReplicas = aContext.mLimits.LimitedCount();
+  gauges.mFacts = aContext.mFacts.Size();
   gauges.mPrograms = aContext.mPrograms.Programs().ProgramCount();
   gauges.mTurns = aContext.mPrograms.Programs().TurnCount();
   gauges.mTextBytes = aContext.mTexts.CachedBytes();
@@ -27,7 +29,7 @@
 }
 
 static json::object
-ReplicaJson(const ReplicaState& aState)
+ReplicaJson(const Context& aContext, const ReplicaState& aState)
 {
   json::object row{ { "replica", aState.mReplica.mId },
                     { "service", aState.mReplica.mService },
@@ -43,6 +45,12 @@
     row["waiting"] = aState.mLoad->mWaiting;
     row["load_age_ms"] = Since(aState.mLoadAt).count();
   }
+  if (const auto limit = aContext.mLimits.LimitOf(aState.mReplica)) {
+    const QuotaShare share = aContext.mLimits.ShareOf(aState.mReplica);
+    row["request_limit_per_s"] = *limit;
+    row["own_share_per_s"] = share.mPerSecond;
+    row["share_holders"] = share.mHolders;
+  }
   return row;
 }
 
@@ -69,7 +77,7 @@
   const Gauges gauges = GaugesOf(aContext);
   json::array replicas;
   for (const auto& [id, state] : aContext.mPool.States()) {
-    replicas.push_back(ReplicaJson(*state));
+    replicas.push_back(ReplicaJson(aContext, *state));
   }
   const json::object dump{
     { "ready", gauges.mReady },
@@ -91,6 +99,7 @@
         { "down_for_all", aContext.mStore.DownForAll() },
         { "since_success_ms", aContext.mStore.SinceSuccess().count() },
         { "aggregators", AggregatorsJson(aContext) } } },
+    { "facts", gauges.mFacts },
     { "calls_open", gauges.mCallsOpen },
   };
   return json::serialize(dump);
--- a/modules/gateway/src/store_paths.cpp
+++ b/modules/gateway/src/store_paths.cpp
@@ -70,7 +70,7 @@
   }
   mAggregators.SetMembers(aMembers);
   if (mOnMembersChanged) {
-    mOnMembersChanged();
+    mOnMembersChanged(aMembers);
   }
 }
 
--- a/modules/gateway/src/store_paths.h
+++ b/modules/gateway/src/store_paths.h
@@ -43,7 +43,10 @@
   void SetMembers(const std::vector<Member>& aMembers);
 
   // Sets a function that runs after each SetMembers.
-  void OnMembersChanged(std::function<void()> aHandler) { mOnMembersChanged = std::move(aHandler); }
+  void OnMembersChanged(std::function<void(const std::vector<Member>&)> aHandler)
+  {
+    mOnMembersChanged = std::move(aHandler);
+  }
 
   // Sets what serves the partitions that this gateway aggregates. aAggregator outlives this object.
   void SetAggregator(LogStore& aAggregator) { mAggregators.SetLocal(aAggregator); }
@@ -155,7 +158,7 @@
   RoutedStore mUnaggregatedStore;
   AggregatorPaths mAggregators;
   std::map<uint32_t, std::shared_ptr<Path>> mWriters; // Of mPeers, by the hash of the instance.
-  std::function<void()> mOnMembersChanged;
+  std::function<void(const std::vector<Member>&)> mOnMembersChanged;
   bool mReachable = true;
   base::TimePoint mLastSuccess;
   std::optional<base::TimePoint> mLastPeerFailure; // Of the store, as reported by a peer.
--- a/modules/gateway/tests/decisions_test.cpp
+++ b/modules/gateway/tests/decisions_test.cpp
@@ -297,7 +297,6 @@
                                  "assumed_load=2.0/8 kept_tokens=512/900 reported_load=23 ");
 }
 
-
 // Guards against a replica of a service that never reports its load and counts as more loaded with
 // each call that it ever answered: one that had fewer calls would be waited for.
 BOOST_AUTO_TEST_CASE(AssumedLoadOfAReplicaThatNeverReportsIsWhatIsInFlight)
--- a/modules/gateway/tests/gateway_node.h
+++ b/modules/gateway/tests/gateway_node.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "aggregator.h"
+#include "fact_exchange.h"
 #include "fake_log_store.h"
 #include "relay_server.h"
+#include "shared_facts.h"
 #include "store_paths.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -79,18 +81,22 @@
               FakeLogStore& aShared,
               const std::string& aInstance,
               uint32_t aLinkMbits,
-              uint32_t aPartitions)
+              uint32_t aPartitions,
+              const std::string& aDomain = "zone-a")
     : mLoop(aLoop)
     , mAcceptor(aLoop, { boost::asio::ip::address_v4::loopback(), 0 })
-    , mOwn{ aInstance, { "127.0.0.1", mAcceptor.local_endpoint().port() }, "zone-a", aLinkMbits }
+    , mOwn{ aInstance, { "127.0.0.1", mAcceptor.local_endpoint().port() }, aDomain, aLinkMbits }
     , mStore(new NodeStore(aShared))
     , mPaths(aLoop.get_executor(), std::unique_ptr<LogStore>(mStore), mOwn)
     , mLogs(aLoop.get_executor(), mPaths, aPartitions)
     , mAggregator(aLoop.get_executor(), mPaths.ForAggregator(), mLogs)
+    , mFacts(aLoop.get_executor())
+    , mExchange(aLoop.get_executor(), mFacts, mOwn, [this] { return mStopping; })
     , mServices{ mPaths.DirectForPeers(),
                  mAggregator,
                  [this] { return mStopping; },
-                 [](const std::string&) { return std::optional<std::string>(); } }
+                 [](const std::string&) { return std::optional<std::string>(); },
+                 [this](const wire::RelayRequestT& aRequest) { return ServeFacts(aRequest); } }
   {
     mPaths.SetAggregator(mAggregator);
     for (uint32_t i = 0; i < aPartitions; ++i) {
@@ -132,6 +138,17 @@
     }
   }
 
+  boost::asio::awaitable<wire::RelayResponseT> ServeFacts(const wire::RelayRequestT& aRequest)
+  {
+    return mSilent ? NoAnswer() : mExchange.Serve(aRequest);
+  }
+
+  static boost::asio::awaitable<wire::RelayResponseT> NoAnswer()
+  {
+    co_await SleepFor(base::Seconds(3600));
+    co_return wire::RelayResponseT{};
+  }
+
   boost::asio::io_context& mLoop;
   boost::asio::ip::tcp::acceptor mAcceptor;
   Member mOwn;
@@ -139,6 +156,8 @@
   StorePaths mPaths;
   ProgramLogs mLogs;
   Aggregator mAggregator;
+  SharedFacts mFacts;
+  FactExchange mExchange;
   const RelayServices mServices;
   bool mStopping = false;
   bool mSilent = false;
--- a/modules/gateway/tests/store_paths_test.cpp
+++ b/modules/gateway/tests/store_paths_test.cpp
@@ -27,7 +27,8 @@
                                  [](const std::string& aAttempt) {
                                    return aAttempt == "known" ? std::optional<std::string>("text")
                                                               : std::nullopt;
-                                 } };
+                                 },
+                                 {} };
   tcp::acceptor mAcceptor{ mLoop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0) };
   std::optional<base::Result<Appended>> mAppended;
   std::optional<base::Result<StreamPage>> mPage;
