Name the request in the lines of sends that fail, by a hash that outlives its attempt id

A request that comes again has another attempt id each time, so that "one request crashes replica after replica" and "replicas crash for reasons of their own" cannot be told apart. Change: replica_try lines carry a hash of caller, method, host, path and body.

--- a/modules/gateway/src/call.h
+++ b/modules/gateway/src/call.h
@@ -20,6 +20,7 @@
   const Route* mRoute = nullptr;
   const Service* mService = nullptr; // Null if the table does not describe it.
   std::string mServiceName;
+  uint64_t mHash = 0; // See RequestHash.
   base::TimePoint mArrived;
   base::TimePoint mDeadline; // The caller's, or the route's timeout if that is earlier.
   CallTrace mTrace;
--- a/modules/gateway/src/call_runner.cpp
+++ b/modules/gateway/src/call_runner.cpp
@@ -4,6 +4,7 @@
 #include "dispatcher.h"
 #include "elapsed.h"
 #include "refusal.h"
+#include "request_hash.h"
 #include "sycamore/base/log.h"
 #include "turn_runner.h"
 
@@ -102,6 +103,7 @@
   Call call;
   call.mArrived = base::Clock::now();
   call.mRequest = std::move(aRequest);
+  call.mHash = RequestHash(call.mRequest, aLink.CallerAddress());
   const OpenCallGuard open(aContext);
   CallOutcome outcome;
   if (const auto error = ResolveCall(aContext, call)) {
--- a/modules/gateway/src/dispatcher.cpp
+++ b/modules/gateway/src/dispatcher.cpp
@@ -272,19 +272,21 @@
     result.mMayHaveRun = result.mMayHaveRun || result.mExchange.mStatus == ExchangeStatus::Failed;
     aContext.mMetrics.NoteReplicaTry(StatusName(result.mExchange.mStatus));
     if (!result.mExchange.mDetail.empty() || resume) {
-      base::Log(base::LogEvent::ReplicaTry,
-                "attempt={} replica={} domain={} load={:.1f}/{} failures={} sends={} "
-                "resumed_after={} outcome={} detail=\"{}\"",
-                aCall.mHead.mAttempt,
-                replica.mId,
-                replica.mDomain,
-                chosen.mAssumedLoad,
-                replica.mSlots,
-                failures,
-                result.mSends,
-                resume ? std::to_string(resume->mLastEvent) : "-",
-                StatusName(result.mExchange.mStatus),
-                result.mExchange.mDetail);
+      base::Log(
+        base::LogEvent::ReplicaTry,
+        "attempt={} request={:016x} replica={} domain={} load={:.1f}/{} failures={} sends={} "
+        "resumed_after={} outcome={} detail=\"{}\"",
+        aCall.mHead.mAttempt,
+        aCall.mHash,
+        replica.mId,
+        replica.mDomain,
+        chosen.mAssumedLoad,
+        replica.mSlots,
+        failures,
+        result.mSends,
+        resume ? std::to_string(resume->mLastEvent) : "-",
+        StatusName(result.mExchange.mStatus),
+        result.mExchange.mDetail);
     }
     const NextStep next = StepAfter(aCall, result.mExchange, replica.mId, aSink, sends);
     if (next == NextStep::Stop) {
--- a/modules/gateway/tests/decisions_test.cpp
+++ b/modules/gateway/tests/decisions_test.cpp
@@ -1,6 +1,7 @@
 #include "call_trace.h"
 #include "fake_header_codec.h"
 #include "prompt_cache.h"
+#include "request_hash.h"
 #include "shared_prompts.h"
 #include "sycamore/gateway/replica_choice.h"
 #include "sycamore/gateway/replica_list.h"
@@ -311,4 +312,28 @@
   BOOST_TEST(AssumedLoads(std::vector<ReplicaView>{ replica }).front() == 4);
 }
 
+// Guards against a request that is taken for another one when it comes again under a new attempt id
+// at another gateway, and against two requests that are taken for the same.
+BOOST_AUTO_TEST_CASE(RequestHashIsTheSameForTheSameCallerPathAndBody)
+{
+  namespace http = boost::beast::http;
+  CallerRequest request(http::verb::post, "/a/1", 11);
+  request.set(http::field::host, "a.example");
+  request.set("X-Attempt", "a1");
+  request.body() = "text";
+  const uint64_t hash = RequestHash(request, "10.0.0.1");
+  CallerRequest again = request;
+  again.set("X-Attempt", "a2");
+  BOOST_TEST(RequestHash(again, "10.0.0.1") == hash);
+  BOOST_TEST(RequestHash(request, "10.0.0.2") != hash);
+  again.target("/a/2");
+  BOOST_TEST(RequestHash(again, "10.0.0.1") != hash);
+  again = request;
+  again.body() = "text2";
+  BOOST_TEST(RequestHash(again, "10.0.0.1") != hash);
+  again = request;
+  again.method(http::verb::put);
+  BOOST_TEST(RequestHash(again, "10.0.0.1") != hash);
+}
+
 }
