Answer calls that arrive in a planned stop before the process ends

Report of other operators: in a planned stop, requests that came late in the grace were taken and passed on, and cut without an answer at the end of it, among them requests that may not be repeated. Found here: calls are taken for 2.5 s after SIGTERM, while the balancer still sends some, and keep their own deadline. One that outlasts the grace was cut with the process: the caller learned nothing. Change: the deadline of a call that arrives while the process stops is at most 0.3 s before its end. Its replica is told so, and the caller gets a complete answer that says what is known. Result: GatewayCallThatOutlastsThePlannedStopIsAnswered failed without the change (the answer came after the end of the stop) and passes.

--- a/modules/gateway/src/call_runner.cpp
+++ b/modules/gateway/src/call_runner.cpp
@@ -21,6 +21,9 @@
 // Deadline of a call that names none and whose route has no timeout.
 static constexpr Millis kDefaultDeadline{ 10000 };
 
+// A call that arrives while the process stops is answered this long before its end.
+static constexpr Millis kStopMargin{ 300 };
+
 // Counts an open call for its lifetime.
 class OpenCallGuard
 {
@@ -70,6 +73,10 @@
   if (aCall.mRoute->mTimeout > Millis(0)) {
     aCall.mDeadline = std::min(aCall.mDeadline, aCall.mArrived + aCall.mRoute->mTimeout);
   }
+  if (aContext.mStopping) {
+    // The end of the process would cut the connection, which says nothing of whether the call ran.
+    aCall.mDeadline = std::min(aCall.mDeadline, aContext.mStopsAt - kStopMargin);
+  }
   const std::string& key =
     aCall.mHead.mProgram.empty() ? aCall.mHead.mAttempt : aCall.mHead.mProgram;
   aCall.mServiceName = ServiceFor(*aCall.mRoute, key);
--- a/modules/gateway/src/context.h
+++ b/modules/gateway/src/context.h
@@ -101,6 +101,7 @@
   CrashSuspects mSuspects;
   const uint32_t mWriterHash; // Of this instance.
   bool mStopping = false;
+  base::TimePoint mStopsAt = base::TimePoint::max(); // While stopping: when the process ends.
   size_t mCallsOpen = 0;
   uint64_t mTieBreak = 0; // Spreads the choices of this process; see ChooseReplica.
 };
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -431,6 +431,7 @@
 boost::asio::awaitable<void>
 Gateway::Impl::Drain()
 {
+  mContext.mStopsAt = base::Clock::now() + mSettings.mDrainLimit;
   mContext.mStopping = true;
   co_await SleepFor(kDrainNoticePeriod);
   // No request is accepted from here on, since the end of the process could cut it off.
