Mend three findings of the linter in the exchange of facts

A request was read after it was moved from (its wait is a number, which the move keeps); a fact was copied where a reference does; a move of a trivial table had no effect. No change of behaviour.

--- a/modules/gateway/src/fact_codec.cpp
+++ b/modules/gateway/src/fact_codec.cpp
@@ -47,7 +47,7 @@
   wire::RequestCompletedT table;
   table.request = aCompleted.mRequest;
   wire::FactBodyUnion body;
-  body.Set(std::move(table));
+  body.Set(table);
   return body;
 }
 
--- a/modules/gateway/src/fact_exchange.cpp
+++ b/modules/gateway/src/fact_exchange.cpp
@@ -222,8 +222,8 @@
   request.mEpoch = aPeer->mEpoch;
   request.mFrom = aPeer->mNext;
   request.mWait = known ? kWait : Millis(0);
-  const auto answer =
-    co_await aPeer->mClient->Facts(std::move(request), request.mWait + kAnswerTimeout);
+  const Millis timeout = request.mWait + kAnswerTimeout;
+  const auto answer = co_await aPeer->mClient->Facts(std::move(request), timeout);
   NoteResult(aInstance, *aPeer, base::IsOk(answer));
   if (!base::IsOk(answer)) {
     co_return false;
@@ -262,8 +262,8 @@
   const base::TimePoint now = base::Clock::now();
   size_t malformed = 0;
   for (const std::string& record : aRecords) {
-    if (auto fact = DecodeFact(record, now)) {
-      mFacts.Add(std::move(*fact), SharedFacts::Origin::OtherGateway);
+    if (const auto fact = DecodeFact(record, now)) {
+      mFacts.Add(*fact, SharedFacts::Origin::OtherGateway);
     } else {
       ++malformed;
     }
--- a/modules/gateway/src/shared_facts.cpp
+++ b/modules/gateway/src/shared_facts.cpp
@@ -18,7 +18,7 @@
 }
 
 bool
-SharedFacts::Add(Fact aFact, Origin aOrigin)
+SharedFacts::Add(const Fact& aFact, Origin aOrigin)
 {
   if (base::Clock::now() - aFact.mObservedAt >= LifetimeOf(aFact)) {
     return false;
--- a/modules/gateway/src/shared_facts.h
+++ b/modules/gateway/src/shared_facts.h
@@ -34,7 +34,7 @@
 
   // Enters aFact and runs the handlers, unless it tells nothing new or has expired. Whether it was
   // entered.
-  bool Add(Fact aFact, Origin aOrigin);
+  bool Add(const Fact& aFact, Origin aOrigin);
 
   // Adds a function that runs after a fact was entered.
   void OnNews(Handler aHandler) { mHandlers.push_back(std::move(aHandler)); }
