--- a/modules/gateway/src/dispatcher.cpp
+++ b/modules/gateway/src/dispatcher.cpp
@@ -324,7 +324,7 @@
     }
     sends.mBreaks += result.mExchange.mBreak != BreakStage::NotBroken ? 1 : 0;
     if (sends.mBreaks > 1) {
-      // The next replica may be ended too: the verdict takes less than a tenth of a second.
+      // The next replica may be ended too. The probe takes 0.3 s at most.
       co_await AwaitCrashProbe(chosen.mState);
     }
     if (next == NextStep::AnotherReplica) {
