--- a/review/standins/common.h
+++ b/review/standins/common.h
@@ -97,12 +97,31 @@
 
 #define RECORD(...) ::review::Record::Get().Line(__VA_ARGS__)
 
+// The processes of the system that run now.
+inline std::set<pid_t>&
+Processes()
+{
+  static std::set<pid_t> processes;
+  return processes;
+}
+
+inline void
+EndProcesses()
+{
+  for (const pid_t process : Processes()) {
+    kill(process, SIGKILL);
+    waitpid(process, nullptr, 0);
+  }
+  Processes().clear();
+}
+
 [[noreturn]] inline void
 CannotRun(const std::string& aWhy)
 {
   RECORD("CANNOT RUN: %s", aWhy.c_str());
   std::fprintf(stderr, "cannot run: %s\n", aWhy.c_str());
-  std::exit(2);
+  EndProcesses();
+  std::_Exit(2);
 }
 
 // ---- sockets and HTTP
@@ -924,6 +943,7 @@
       execl(binary, binary, settings.c_str(), static_cast<char*>(nullptr));
       _exit(127);
     }
+    Processes().insert(mPid);
   }
   void Signal(int aSignal)
   {
@@ -935,6 +955,7 @@
     if (mPid > 0) {
       Signal(SIGKILL);
       waitpid(mPid, nullptr, 0);
+      Processes().erase(mPid);
       mPid = -1;
     }
   }
@@ -953,6 +974,7 @@
       Sleep(0.02);
     }
     RECORD("%s ended, status %d", mName.c_str(), status);
+    Processes().erase(mPid);
     mPid = -1;
   }
   // Whether the process has ended by itself.
@@ -961,6 +983,7 @@
     int status = 0;
     if (mPid > 0 && waitpid(mPid, &status, WNOHANG) == mPid) {
       RECORD("%s ended by itself, status %d", mName.c_str(), status);
+      Processes().erase(mPid);
       mPid = -1;
     }
     return mPid <= 0;
@@ -1075,7 +1098,7 @@
 }
 
 inline Outcome
-SendTurn(const Gateway& aGateway, const Turn& aTurn, bool aQuiet = false)
+SendTurn(const Gateway& aGateway, const Turn& aTurn)
 {
   const std::string attempt = NewAttempt();
   std::string bytes = "POST /talk/x HTTP/1.1\r\nHost: review.example\r\n"
@@ -1092,28 +1115,24 @@
     bytes += "X-Sycamorelever-Previous-Turn: " + aTurn.mPrevious + "\r\n";
   }
   bytes += "Content-Length: " + std::to_string(aTurn.mInput.size()) + "\r\n\r\n" + aTurn.mInput;
-  if (!aQuiet) {
-    RECORD("send to=%s attempt=%s program=%s previous=%s input_bytes=%zu max_tokens=%d",
-           aGateway.Name().c_str(),
-           attempt.c_str(),
-           aTurn.mProgram.c_str(),
-           aTurn.mPrevious.c_str(),
-           aTurn.mInput.size(),
-           aTurn.mMaxTokens);
-  }
+  RECORD("send to=%s attempt=%s program=%s previous=%s input_bytes=%zu max_tokens=%d",
+         aGateway.Name().c_str(),
+         attempt.c_str(),
+         aTurn.mProgram.c_str(),
+         aTurn.mPrevious.c_str(),
+         aTurn.mInput.size(),
+         aTurn.mMaxTokens);
   Outcome outcome =
     Exchange(aGateway.Ip(), aGateway.Front(), bytes, attempt, aTurn.mDeadlineMs);
-  if (!aQuiet) {
-    RECORD("answer from=%s attempt=%s status=%d complete=%d events=%d took_ms=%.0f%s%s",
-           aGateway.Name().c_str(),
-           attempt.c_str(),
-           outcome.mStatus,
-           outcome.mComplete,
-           outcome.mEvents,
-           (outcome.mEndedAt - outcome.mSentAt) * 1000,
-           outcome.mStatus == 200 ? "" : " body=",
-           outcome.mStatus == 200 ? "" : outcome.mBody.c_str());
-  }
+  RECORD("answer from=%s attempt=%s status=%d complete=%d events=%d took_ms=%.0f%s%s",
+         aGateway.Name().c_str(),
+         attempt.c_str(),
+         outcome.mStatus,
+         outcome.mComplete,
+         outcome.mEvents,
+         (outcome.mEndedAt - outcome.mSentAt) * 1000,
+         outcome.mStatus == 200 ? "" : " body=",
+         outcome.mStatus == 200 ? "" : outcome.mBody.c_str());
   return outcome;
 }
 
@@ -1157,6 +1176,7 @@
   RECORD("%s: %s", aBroken ? "BROKEN" : "HELD", aWhat.c_str());
   std::printf("%s: %s\n", aBroken ? "BROKEN" : "HELD", aWhat.c_str());
   std::fflush(stdout);
+  EndProcesses();
   std::_Exit(aBroken ? 1 : 0);
 }
 
