Keep a turn that is read after the one that continues it

Cause: the registry prolonged the turns before a completed turn only if they were known when its record was applied. A gateway that loads the history reads partitions in any order, so that the first turn of a chain over two programs may be applied last; it then expired with its own retention. The 404 named the turn that was asked for, so that a wrong id and a gap looked alike; it names the turn at which the chain ends now.

The registry remembers the expiry that a chain needs for a turn that it does not know yet. Why it works: the result of reading does not depend on the order of the partitions, which a property test checks for random trees.

--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -143,7 +143,13 @@
     }
   }
   if (!chain) {
-    co_return base::Error{ ErrorKind::UnknownTurn, "there is no such turn: " + previous, "" };
+    const std::string unknown = mContext.mPrograms.Programs().UnknownTurn(previous);
+    co_return base::Error{ ErrorKind::UnknownTurn,
+                           unknown == previous
+                             ? "there is no such turn: " + previous
+                             : fmt::format(
+                                 "turn {}, which {} continues, is not kept", unknown, previous),
+                           "" };
   }
   mPrefixReplica = mContext.mPrograms.Programs().FindTurn(previous)->mReplica;
   mHistory = ReferencesTo(*chain);
--- a/modules/programs/include/sycamore/programs/program_registry.h
+++ b/modules/programs/include/sycamore/programs/program_registry.h
@@ -54,6 +54,9 @@
   // prompt that continues aLast. Nothing if one of them is unknown.
   std::optional<std::vector<std::string>> Chain(const std::string& aLast) const;
 
+  // The attempt at which the chain of aLast ends too soon; empty if the chain is known.
+  std::string UnknownTurn(const std::string& aLast) const;
+
   // Removes turns and programs that expired before aNow, the time of day since 1970. Returns the
   // number of removed turns.
   size_t Expire(base::Millis aNow);
@@ -85,6 +88,9 @@
   void ExtendChain(const std::string& aAttempt, base::Millis aExpires);
 
   std::unordered_map<std::string, Turn> mTurns; // By attempt.
+  // Expiry of the latest turn that continues an attempt whose own record has not been applied: the
+  // records of a chain are in several partitions, which are read in any order.
+  std::unordered_map<std::string, base::Millis> mContinuedUnknown;
   std::unordered_map<std::string, Program> mPrograms;
   std::vector<std::string> mRefused; // See TakeRefused.
 };
--- a/modules/programs/src/program_registry.cpp
+++ b/modules/programs/src/program_registry.cpp
@@ -47,7 +47,7 @@
 void
 ProgramRegistry::ApplyEvent(const TurnCompleted& aEvent, base::Millis aWrittenAt)
 {
-  const base::Millis expires = aWrittenAt + aEvent.mRetention + kClockSkewMargin;
+  base::Millis expires = aWrittenAt + aEvent.mRetention + kClockSkewMargin;
   Settle(Touch(aEvent.mProgram, std::max(expires, aWrittenAt + kBudgetRetention)),
          aEvent.mAttempt,
          aEvent.mTokens);
@@ -55,6 +55,9 @@
   if (!added) {
     return;
   }
+  if (const auto continued = mContinuedUnknown.extract(aEvent.mAttempt); !continued.empty()) {
+    expires = std::max(expires, continued.mapped());
+  }
   const TextLocation text{
     aEvent.mTextSearchStart, false, aEvent.mTextBytes, aEvent.mTextPartition, aEvent.mWriter
   };
@@ -98,12 +101,19 @@
 void
 ProgramRegistry::ExtendChain(const std::string& aAttempt, base::Millis aExpires)
 {
-  for (auto turn = mTurns.find(aAttempt); turn != mTurns.end();
-       turn = mTurns.find(turn->second.mPrevious)) {
+  const std::string* attempt = &aAttempt;
+  while (!attempt->empty()) {
+    const auto turn = mTurns.find(*attempt);
+    if (turn == mTurns.end()) {
+      base::Millis& expires = mContinuedUnknown[*attempt];
+      expires = std::max(expires, aExpires);
+      return;
+    }
     if (turn->second.mExpires >= aExpires) {
       return; // Earlier turns of the chain live at least as long.
     }
     turn->second.mExpires = aExpires;
+    attempt = &turn->second.mPrevious;
   }
 }
 
@@ -162,11 +172,26 @@
   return chain;
 }
 
+std::string
+ProgramRegistry::UnknownTurn(const std::string& aLast) const
+{
+  std::string attempt = aLast;
+  while (!attempt.empty()) {
+    const Turn* turn = FindTurn(attempt);
+    if (turn == nullptr) {
+      break;
+    }
+    attempt = turn->mPrevious;
+  }
+  return attempt;
+}
+
 size_t
 ProgramRegistry::Expire(base::Millis aNow)
 {
   const auto expired = [aNow](const auto& aEntry) { return aEntry.second.mExpires < aNow; };
   std::erase_if(mPrograms, expired);
+  std::erase_if(mContinuedUnknown, [aNow](const auto& aEntry) { return aEntry.second < aNow; });
   return std::erase_if(mTurns, expired);
 }
 
--- a/modules/programs/tests/program_registry_test.cpp
+++ b/modules/programs/tests/program_registry_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <numeric>
 #include <rapidcheck.h>
 #include <rapidcheck/boost_test.h>
 #include <vector>
@@ -82,6 +83,36 @@
   BOOST_TEST(mRegistry.FindTurn("lonely") == nullptr);
 }
 
+// Guards against 404 for a turn that is kept: the records of a chain that spans programs are in
+// several partitions, so that a gateway which loads the history may apply a later turn first.
+BOOST_FIXTURE_TEST_CASE(ProgramRegistryTurnAppliedAfterItsSuccessorLivesAsLong,
+                        ProgramRegistryFixture)
+{
+  const base::Millis begin = mNow;
+  mNow = begin + base::Millis(100000);
+  Complete("t3", "t2");
+  mNow = begin + base::Millis(50000);
+  Complete("t2", "t1");
+  mNow = begin;
+  Complete("t1", "");
+  mRegistry.Expire(begin + base::Millis(150000));
+  BOOST_TEST((mRegistry.Chain("t3").value_or(Attempts{}) == Attempts{ "t1", "t2", "t3" }));
+  // Nothing is left of the chain after its last turn has expired.
+  mRegistry.Expire(begin + base::Millis(200000));
+  BOOST_TEST(mRegistry.TurnCount() == 0U);
+}
+
+// Guards against a refusal whose message does not tell a wrong id from a gap in the history.
+BOOST_FIXTURE_TEST_CASE(ProgramRegistryUnknownTurnIsTheOneThatBreaksTheChain,
+                        ProgramRegistryFixture)
+{
+  Complete("t1", "");
+  Complete("t3", "t2");
+  BOOST_TEST(mRegistry.UnknownTurn("t1") == "");
+  BOOST_TEST(mRegistry.UnknownTurn("t3") == "t2");
+  BOOST_TEST(mRegistry.UnknownTurn("t9") == "t9");
+}
+
 // Guards against a copy of an append that the store executes late: it must not change the history.
 BOOST_FIXTURE_TEST_CASE(ProgramRegistrySecondCopyOfATurnChangesNothing, ProgramRegistryFixture)
 {
@@ -165,6 +196,48 @@
   }
 }
 
+// Guards against a history that depends on the order in which partitions are read: each record is
+// in the partition of its program, and only the records of one partition are in order.
+RC_BOOST_PROP(HistoryDoesNotDependOnTheOrderOfPartitions, ())
+{
+  constexpr uint32_t kPartitions = 4;
+  std::vector<std::vector<ProgramRecord>> partitions(kPartitions);
+  const int turns = *rc::gen::inRange(1, 30);
+  for (int i = 0; i < turns; ++i) {
+    const int previous = *rc::gen::inRange(-1, i);
+    TurnCompleted turn;
+    turn.mAttempt = "t" + std::to_string(i);
+    turn.mProgram = "p";
+    turn.mPrevious = previous < 0 ? "" : "t" + std::to_string(previous);
+    turn.mRetention = base::Millis(60000);
+    const base::Millis written(1000000 + 40000 * i);
+    partitions[*rc::gen::inRange<size_t>(0, kPartitions)].push_back({ written, { turn } });
+  }
+  std::vector<size_t> order(kPartitions);
+  std::iota(order.begin(), order.end(), size_t{ 0 });
+  ProgramRegistry forward;
+  ProgramRegistry backward;
+  for (const size_t partition : order) {
+    for (const ProgramRecord& record : partitions[partition]) {
+      forward.Apply(record);
+    }
+  }
+  std::reverse(order.begin(), order.end());
+  for (const size_t partition : order) {
+    for (const ProgramRecord& record : partitions[partition]) {
+      backward.Apply(record);
+    }
+  }
+  const base::Millis now(1000000 + *rc::gen::inRange(0, 40000 * (turns + 3)));
+  forward.Expire(now);
+  backward.Expire(now);
+  RC_ASSERT(forward.TurnCount() == backward.TurnCount());
+  for (int i = 0; i < turns; ++i) {
+    const std::string attempt = "t" + std::to_string(i);
+    RC_ASSERT(forward.Chain(attempt) == backward.Chain(attempt));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
