Expire turns as of the records that have been read

Cause: turns were dropped as of the time of day, although records that continue them had not been read; behind an aggregator without the store the end of its copy was taken for the end of the stream.

Each partition knows the time of day as of which all its records are applied. An aggregator names the age of its copy in its answers. Turns and budgets expire as of the oldest of these times, so that none is dropped before every record that may prolong it has been applied.

With expiry by the time of day and without the age, ProgramLogsTurnDoesNotExpireBeforeLaterRecordsAreRead and AggregatorCopyTellsItsAgeWhileTheStoreIsAway fail; with the change they pass.

--- a/modules/base/include/sycamore/base/clock.h
+++ b/modules/base/include/sycamore/base/clock.h
@@ -13,4 +13,11 @@
 using Micros = std::chrono::microseconds;
 using Seconds = std::chrono::seconds;
 
+// Time of day since 1970. Clocks of machines differ by some seconds, and the clock may be set.
+inline Millis
+TimeOfDay()
+{
+  return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch());
+}
+
 }
--- a/modules/gateway/src/program_log.cpp
+++ b/modules/gateway/src/program_log.cpp
@@ -45,12 +45,6 @@
 // Timeout of a read that a call waits for. Remote regions take 75 ms.
 static constexpr Millis kCatchUpTimeout{ 600 };
 
-static Millis
-TimeOfDay()
-{
-  return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch());
-}
-
 ProgramLog::ProgramLog(const boost::asio::any_io_executor& aExecutor,
                        LogStore& aStore,
                        programs::ProgramRegistry& aPrograms,
@@ -178,6 +172,7 @@
 boost::asio::awaitable<base::Result<base::Unit>>
 ProgramLog::ReadOnce(ReadRange aRange, Millis aTimeout)
 {
+  const Millis begin = base::TimeOfDay();
   auto page = co_await mStore.Read(mStream, aRange, aTimeout);
   if (!base::IsOk(page)) {
     if (!std::exchange(mFailing, true)) {
@@ -196,6 +191,9 @@
     mLastProgress = base::Clock::now();
   }
   ApplyPage(read);
+  if (mNext >= read.mEnd) {
+    mCurrentAt = std::max(mCurrentAt, begin - read.mAge);
+  }
   // The end that another gateway tells may be older than this process.
   if (mNext >= read.mEnd && (!read.mShared || aRange.mFresh)) {
     mLoaded = true;
@@ -297,6 +295,7 @@
   }
   // While the history is loaded here, no reader may believe that it has reached the end.
   page.mEnd = mLoaded ? std::max(mEnd, mNext) : std::max(mEnd, mNext + 1);
+  page.mAge = std::max(base::TimeOfDay() - mCurrentAt, Millis(0));
   co_return page;
 }
 
@@ -348,7 +347,7 @@
 static std::string
 RecordOf(programs::ProgramEvent aEvent)
 {
-  programs::ProgramRecord record{ TimeOfDay(), {} };
+  programs::ProgramRecord record{ base::TimeOfDay(), {} };
   record.mEvents.push_back(std::move(aEvent));
   return programs::EncodeRecord(record);
 }
--- a/modules/gateway/src/program_log.h
+++ b/modules/gateway/src/program_log.h
@@ -44,6 +44,10 @@
   // Offset of the next record to apply.
   uint64_t NextOffset() const { return mNext; }
 
+  // Time of day since 1970 as of which all records of the partition have been applied; 0 before the
+  // history is loaded. Lags behind while the store cannot be read, and after a freeze.
+  base::Millis CurrentAt() const { return mLoaded ? mCurrentAt : base::Millis(0); }
+
   // Whether the last call to the store failed.
   bool Failing() const { return mFailing; }
 
@@ -106,6 +110,7 @@
   const base::Millis mReadInterval;
   uint64_t mNext = 0; // Offset of the next record to apply.
   uint64_t mEnd = 0;  // End of the stream as of the last page.
+  base::Millis mCurrentAt{ 0 };
   // Reads by CatchUp are numbered from 1. One runs at a time and serves all waiters.
   uint64_t mCatchUpsStarted = 0;
   uint64_t mCatchUpsEnded = 0;
--- a/modules/gateway/src/program_logs.cpp
+++ b/modules/gateway/src/program_logs.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <cassert>
-#include <chrono>
 #include <utility>
 
 namespace sycamore::gateway {
@@ -51,8 +50,7 @@
 {
   for (;;) {
     co_await SleepFor(kExpiryInterval);
-    mPrograms.Expire(std::chrono::duration_cast<base::Millis>(
-      std::chrono::system_clock::now().time_since_epoch()));
+    mPrograms.Expire(std::min(base::TimeOfDay(), CurrentAt()));
   }
 }
 
@@ -74,6 +72,16 @@
   return std::any_of(mLogs.begin(), mLogs.end(), [](const auto& aLog) { return aLog->Failing(); });
 }
 
+base::Millis
+ProgramLogs::CurrentAt() const
+{
+  base::Millis oldest = base::Millis::max();
+  for (const auto& log : mLogs) {
+    oldest = std::min(oldest, log->CurrentAt());
+  }
+  return oldest;
+}
+
 uint64_t
 ProgramLogs::AppliedRecords() const
 {
--- a/modules/gateway/src/program_logs.h
+++ b/modules/gateway/src/program_logs.h
@@ -53,6 +53,10 @@
   // Whether the last call to the store failed, for any partition.
   bool Failing() const;
 
+  // Time of day since 1970 as of which all records of all partitions have been applied; see
+  // ProgramLog::CurrentAt.
+  base::Millis CurrentAt() const;
+
   // Records applied, of all partitions.
   uint64_t AppliedRecords() const;
 
@@ -64,6 +68,8 @@
                                                                base::TimePoint aDeadline);
 
 private:
+  // Forgets expired turns and programs, as of CurrentAt: a record that has not been read yet may
+  // continue a turn that would expire by now.
   boost::asio::awaitable<void> Expire();
   boost::asio::awaitable<void> CatchUpOne(ProgramLog& aLog,
                                           base::TimePoint aDeadline,
--- a/modules/gateway/src/relay_codec.cpp
+++ b/modules/gateway/src/relay_codec.cpp
@@ -90,6 +90,7 @@
   message.end = page.mEnd;
   message.next = page.mNext;
   message.expired = page.mExpired;
+  message.age_ms = static_cast<uint64_t>(page.mAge.count());
   AddRecords(page.mRecords, message);
   return message;
 }
@@ -146,7 +147,13 @@
   if (auto failure = FailureOf(aMessage)) {
     return std::move(*failure);
   }
-  return StreamPage{ aMessage.end, aMessage.next, aMessage.expired, false, RecordsOf(aMessage) };
+  StreamPage page;
+  page.mEnd = aMessage.end;
+  page.mNext = aMessage.next;
+  page.mExpired = aMessage.expired;
+  page.mAge = base::Millis(aMessage.age_ms);
+  page.mRecords = RecordsOf(aMessage);
+  return page;
 }
 
 base::Result<StreamSnapshot>
--- a/modules/gateway/tests/aggregator_test.cpp
+++ b/modules/gateway/tests/aggregator_test.cpp
@@ -285,4 +285,29 @@
   });
 }
 
+// Guards against turns that a follower drops too early: an aggregator that cannot read the store
+// still serves its copy, which lacks the records that continue them.
+BOOST_FIXTURE_TEST_CASE(AggregatorCopyTellsItsAgeWhileTheStoreIsAway, AggregatorFixture)
+{
+  AddNodes(2);
+  AppendElsewhere(Turn("t0"));
+  StartAll();
+  RunUntil([&] { return Follower().mLogs.CurrentAt() > base::Millis(0); });
+  Aggregating().mStore->mDown = true;
+  Follower().mStore->mDown = true;
+  // Reads that are under way end.
+  const base::TimePoint quiet = base::Clock::now() + base::Millis(100);
+  RunUntil([&] { return base::Clock::now() > quiet; });
+  const base::Millis down = base::TimeOfDay();
+  AppendElsewhere(Turn("t1"));
+  const base::TimePoint later = base::Clock::now() + base::Seconds(3);
+  RunUntil([&] { return base::Clock::now() > later; });
+  BOOST_TEST(!Knows(Follower(), "t1"));
+  BOOST_TEST((Follower().mLogs.CurrentAt() <= down));
+  Aggregating().mStore->mDown = false;
+  Follower().mStore->mDown = false;
+  RunUntil([&] { return Follower().mLogs.CurrentAt() > down; });
+  BOOST_TEST(Knows(Follower(), "t1"));
+}
+
 }
--- a/modules/gateway/tests/program_logs_test.cpp
+++ b/modules/gateway/tests/program_logs_test.cpp
@@ -28,13 +28,16 @@
     }
   }
 
-  // A gateway that has read all records appended a turn.
-  void AppendTurn(uint32_t aPartition, const std::string& aAttempt, const std::string& aPrevious)
+  // A gateway that has read all records appended a turn at aWrittenAt.
+  void AppendTurn(uint32_t aPartition,
+                  const std::string& aAttempt,
+                  const std::string& aPrevious,
+                  base::Millis aWrittenAt = base::TimeOfDay())
   {
     const programs::TurnCompleted turn{ aAttempt, ProgramIn(aPartition), aPrevious, 0,
                                         "r",      base::Millis(60000),   0,         5 };
     mStore.mStreams[{ StreamName::Programs, aPartition }].push_back(
-      programs::EncodeRecord({ base::Millis(1), { turn } }));
+      programs::EncodeRecord({ aWrittenAt, { turn } }));
   }
 };
 
@@ -79,4 +82,24 @@
   RunUntil([&] { return found; });
 }
 
+// Guards against 404 for a turn that is kept, after a freeze or an outage of the store: a turn must
+// not expire while records that may continue it have not been read.
+BOOST_FIXTURE_TEST_CASE(ProgramLogsTurnDoesNotExpireBeforeLaterRecordsAreRead, ProgramLogsFixture)
+{
+  // The turn expires within a second, and turns are looked for every five seconds.
+  AppendTurn(0, "t1", "", base::TimeOfDay() - base::Seconds(89));
+  AppendTurn(0, "lonely", "", base::TimeOfDay() - base::Seconds(89));
+  Spawn(mLogs.Run());
+  RunUntil([&] { return mLogs.Loaded(); });
+  mStore.mDown = true;
+  AppendTurn(1, "t2", "t1");
+  const base::TimePoint expired = base::Clock::now() + base::Seconds(7);
+  RunUntil([&] { return base::Clock::now() > expired; });
+  mStore.mDown = false;
+  RunUntil([&] { return mLogs.Programs().FindTurn("t2") != nullptr; });
+  BOOST_TEST(mLogs.Programs().Chain("t2").has_value());
+  RunUntil([&] { return mLogs.Programs().FindTurn("lonely") == nullptr; });
+  BOOST_TEST(mLogs.Programs().Chain("t2").has_value());
+}
+
 }
