Append old turns of a living chain again

Cause: record and texts of a turn are written once. A later turn prolongs the life of its chain only in the memory of running gateways, so that the store drops what is still needed.

The gateway that serves a turn has read the texts of its chain. It appends again those turns whose records the store may drop while the new turn is kept, beside the run at the replica, and acknowledges the new turn only if the records of the whole chain last for its retention. Why it works: whoever acknowledges makes sure, so nothing is owned, and a kill, a freeze or an outage in between leaves a turn that was not acknowledged. Copies are numbered; readers take the first one of the highest number, whatever they have read before.

--- a/modules/gateway/src/context.h
+++ b/modules/gateway/src/context.h
@@ -15,6 +15,7 @@
 #include "sycamore/gateway/replica_list.h"
 #include "sycamore/gateway/route_table.h"
 #include "sycamore/settings/settings.h"
+#include "turn_renewals.h"
 #include "turn_texts.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -61,6 +62,11 @@
              [&aStore](uint32_t aWriter, std::string aAttempt) {
                return aStore.TextFrom(aWriter, std::move(aAttempt));
              })
+    , mRenewals(aExecutor,
+                mPrograms,
+                mTexts,
+                WriterHash(aSettings.mInstance),
+                aSettings.mStoreRetention)
     , mFacts(aExecutor)
     , mLimits(mFacts,
               { aSettings.mInstance, aSettings.mPeer, aSettings.mDomain, aSettings.mLinkMbits },
@@ -96,6 +102,7 @@
   ProgramLogs mPrograms;
   ProgramBudgets mBudgets;
   TurnTexts mTexts;
+  TurnRenewals mRenewals;
   SharedFacts mFacts;
   ReplicaLimits mLimits;
   CrashSuspects mSuspects;
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -13,6 +13,7 @@
 #include "stream_follower.h"
 #include "sycamore/base/log.h"
 #include "sycamore/base/random.h"
+#include "sycamore/programs/record_age.h"
 
 #include <algorithm>
 #include <atomic>
@@ -360,7 +361,9 @@
 Gateway::Impl::WarnAboutRetention() const
 {
   for (const Route& route : mContext.mRoutes->mRoutes) {
-    if (mSettings.mStoreRetention > Millis(0) && route.mRetention > mSettings.mStoreRetention) {
+    const bool known = mSettings.mStoreRetention > Millis(0);
+    if (known && route.mKeepsHistory &&
+        !programs::CanBeKept(route.mRetention + route.mTimeout, mSettings.mStoreRetention)) {
       base::Log(LogEvent::RetentionTooLong,
                 "route={} keeps_ms={} store_keeps_ms={}",
                 route.mName,
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -152,7 +152,8 @@
                            "" };
   }
   mPrefixReplica = mContext.mPrograms.Programs().FindTurn(previous)->mReplica;
-  mHistory = ReferencesTo(*chain);
+  mChain = std::move(*chain);
+  mHistory = ReferencesTo(mChain);
   co_return std::nullopt;
 }
 
@@ -168,6 +169,9 @@
   if (!base::IsOk(texts)) {
     co_return base::ErrorOf(texts);
   }
+  // Until the turn is acknowledged, which may take all of its time.
+  const Millis needed = mCall.mRoute->mRetention + Until(mCall.mDeadline);
+  mContext.mRenewals.Start(base::ValueOf(texts), needed, base::Clock::now() + kBackgroundTimeout);
   for (const TurnTextPtr& text : base::ValueOf(texts)) {
     mPrompt += text->mInput;
     mPrompt += text->mOutput;
@@ -428,6 +432,11 @@
   if (!base::IsOk(appended) || !textOffset) {
     co_return false;
   }
+  const bool chainKept =
+    co_await mContext.mRenewals.EnsureKept(mChain, mCall.mRoute->mRetention, mCall.mDeadline);
+  if (!chainKept) {
+    co_return false; // The store could drop an earlier turn while this one can be continued.
+  }
   mCall.mTrace.mCommit = Since(begin);
   mContext.mMetrics.NoteCommit(*mCall.mTrace.mCommit);
   const programs::TextPlaced placed{ head.mAttempt, *textOffset };
--- a/modules/gateway/src/turn_runner.h
+++ b/modules/gateway/src/turn_runner.h
@@ -92,7 +92,8 @@
   Context& mContext;
   CallerLink& mLink;
   Call& mCall;
-  std::vector<TextReference> mHistory; // Moved away when the texts are read.
+  std::vector<std::string> mChain;     // The turns that this one continues, the oldest first.
+  std::vector<TextReference> mHistory; // Their texts; moved away when these are read.
   std::string mPrompt;
   std::string mPrefixReplica;
   std::shared_ptr<ReservationState> mReservation; // Null before it is started.
--- a/modules/gateway/tests/fake_log_store.h
+++ b/modules/gateway/tests/fake_log_store.h
@@ -58,6 +58,11 @@
     page.mExpired = mExpired;
     page.mEnd = stream.size();
     page.mNext = aRange.mFrom;
+    if (const uint64_t first = mFirstKept[aStream]; aRange.mFrom < first) {
+      page.mExpired = true;
+      page.mNext = first;
+      co_return page;
+    }
     while (page.mNext < page.mEnd && page.mRecords.size() < mMaxRecordsPerPage) {
       StreamRecord record{ page.mNext, "", stream[page.mNext] };
       page.mRecords.push_back(std::move(record));
@@ -76,6 +81,7 @@
   }
 
   std::map<StreamId, std::vector<std::string>> mStreams;
+  std::map<StreamId, uint64_t> mFirstKept; // Offset before which records were dropped.
   base::Millis mLatency{ 1 };
   size_t mMaxRecordsPerPage = 10; // Records of one answer.
   bool mDown = false;
--- a/modules/programs/include/sycamore/programs/program_record.h
+++ b/modules/programs/include/sycamore/programs/program_record.h
@@ -43,6 +43,9 @@
   uint32_t mTextBytes = 0;
   uint32_t mTextPartition = 0; // Of the texts' stream.
   uint32_t mWriter = 0;        // See TextLocation.
+  // Number of the copy: 0 for the first record, more if record and texts were appended again before
+  // the store dropped them. mTextSearchStart is the exact offset in copies.
+  uint32_t mCopy = 0;
 
   bool operator==(const TurnCompleted&) const = default;
 };
--- a/modules/programs/include/sycamore/programs/turn.h
+++ b/modules/programs/include/sycamore/programs/turn.h
@@ -27,6 +27,9 @@
   TextLocation mText;
   std::string mReplica;       // Its cache held the turn when it ended.
   base::Millis mExpires{ 0 }; // Time of day since 1970; later if a later turn continues this one.
+  base::Millis mRetention{ 0 };
+  base::Millis mWrittenAt{ 0 }; // Time of day since 1970 of the record that mText comes from.
+  uint32_t mCopy = 0;           // See TurnCompleted.
 };
 
 }
--- a/modules/programs/src/program_registry.cpp
+++ b/modules/programs/src/program_registry.cpp
@@ -1,14 +1,13 @@
 #include "sycamore/programs/program_registry.h"
 
+#include "sycamore/programs/record_age.h"
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
 
 namespace sycamore::programs {
 
-// Added to every expiry, since the writer's clock may differ from the reader's by some seconds and
-// a client measures retention from the end of its answer.
-static constexpr base::Millis kClockSkewMargin{ 30000 };
 // Time for which the budget of a program without a completed turn is kept after its last record.
 // Longer than any retention that is configured today (60 s).
 static constexpr base::Millis kBudgetRetention{ 120000 };
@@ -52,16 +51,25 @@
          aEvent.mAttempt,
          aEvent.mTokens);
   const auto [position, added] = mTurns.try_emplace(aEvent.mAttempt);
-  if (!added) {
+  Turn& turn = position->second;
+  if (!added && aEvent.mCopy <= turn.mCopy) {
     return;
   }
   if (const auto continued = mContinuedUnknown.extract(aEvent.mAttempt); !continued.empty()) {
     expires = std::max(expires, continued.mapped());
   }
-  const TextLocation text{
-    aEvent.mTextSearchStart, false, aEvent.mTextBytes, aEvent.mTextPartition, aEvent.mWriter
-  };
-  position->second = { aEvent.mProgram, aEvent.mPrevious, text, aEvent.mReplica, expires };
+  turn.mProgram = aEvent.mProgram;
+  turn.mPrevious = aEvent.mPrevious;
+  turn.mText = { aEvent.mTextSearchStart,
+                 aEvent.mCopy > 0,
+                 aEvent.mTextBytes,
+                 aEvent.mTextPartition,
+                 aEvent.mWriter };
+  turn.mReplica = aEvent.mReplica;
+  turn.mExpires = std::max(turn.mExpires, expires);
+  turn.mRetention = aEvent.mRetention;
+  turn.mWrittenAt = aWrittenAt;
+  turn.mCopy = aEvent.mCopy;
   ExtendChain(aEvent.mPrevious, expires);
 }
 
--- a/modules/programs/src/record_codec.cpp
+++ b/modules/programs/src/record_codec.cpp
@@ -102,6 +102,7 @@
   table.text_bytes = aEvent.mTextBytes;
   table.text_partition = aEvent.mTextPartition;
   table.writer = aEvent.mWriter;
+  table.copy = aEvent.mCopy;
   return EventOf(std::move(table));
 }
 
@@ -138,7 +139,8 @@
                           turn->text_from,
                           turn->text_bytes,
                           turn->text_partition,
-                          turn->writer };
+                          turn->writer,
+                          turn->copy };
   }
   if (const auto* placed = aEvent.AsTextPlaced()) {
     return TextPlaced{ UnpackId(placed->attempt, placed->attempt_text), placed->offset };
--- a/modules/programs/tests/record_codec_test.cpp
+++ b/modules/programs/tests/record_codec_test.cpp
@@ -19,6 +19,7 @@
         AttemptEnded{ id, "p" + bytes, 16 },
         TurnCompleted{ id, "p", "", 24, "r-1", base::Millis(60000), 1ULL << 40, 700 },
         TurnCompleted{ "x", "p", id, 24, "r-1", base::Millis(60000), 0, 0 },
+        TurnCompleted{ "y", "p", id, 24, "r-1", base::Millis(60000), 5, 6, 7, 8, 3 },
         TextPlaced{ id, 12 } }
     };
     const auto decoded = DecodeRecord(EncodeRecord(record));
