Bound the memory of all bodies in progress together

Report of other operators: a machine that kept endless bytes of a replica ran out of memory, and the requests of other callers ended with it.

BodyMemory counts requests, answers that are held whole, prompts of kept histories and output that becomes history.

--- a/modules/gateway/src/caller_session.cpp
+++ b/modules/gateway/src/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "caller_session.h"
 
 #include "async.h"
+#include "sycamore/base/log.h"
 #include "sycamore/http/error_body.h"
 
 #include <array>
@@ -26,6 +27,8 @@
 // socket with unread bytes sends a reset, which can discard the answer in transit.
 static constexpr Millis kLingerTimeout{ 300 };
 static constexpr size_t kReadSize = 4096;
+// Retry-After time of a request for whose body there is no memory: others end within it.
+static constexpr Millis kRetryAfterShortMemory{ 500 };
 
 WholeAnswer
 ErrorAnswer(const base::Error& aError, std::optional<std::chrono::milliseconds> aRetryAfter)
@@ -57,7 +60,8 @@
   mStream.socket().set_option(tcp::no_delay(true), ignored);
   while (mKeepAlive && !mGone) {
     CallerRequest request;
-    if (co_await ReadRequest(request) != ReadResult::Complete) {
+    BodyMemory::Hold body(mPolicy.mBodies);
+    if (co_await ReadRequest(request, body) != ReadResult::Complete) {
       break;
     }
     ++mCall;
@@ -103,7 +107,7 @@
 }
 
 boost::asio::awaitable<CallerSession::ReadResult>
-CallerSession::ReadRequest(CallerRequest& aOut)
+CallerSession::ReadRequest(CallerRequest& aOut, BodyMemory::Hold& aBody)
 {
   const CallerLimits limits = mPolicy.mLimits();
   if (!co_await WaitForBytes(limits.mIdleTimeout)) {
@@ -114,18 +118,32 @@
   parser.body_limit(limits.mMaxBodyBytes);
   mStream.expires_after(limits.mHeaderTimeout);
   auto [error, bytes] = co_await http::async_read_header(mStream, mBuffer, parser, kAsTuple);
-  if (!error && boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+  bool fits = error || aBody.Grow(parser.content_length().value_or(0));
+  if (!error && fits && boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
     static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
     std::tie(error, bytes) =
       co_await boost::asio::async_write(mStream, boost::asio::buffer(kContinue), kAsTuple);
   }
-  if (!error && !parser.is_done()) {
-    mStream.expires_after(kBodyTimeout);
-    std::tie(error, bytes) = co_await http::async_read(mStream, mBuffer, parser, kAsTuple);
+  mStream.expires_after(kBodyTimeout);
+  parser.eager(true);
+  while (!error && fits && !parser.is_done()) {
+    std::tie(error, bytes) = co_await http::async_read_some(mStream, mBuffer, parser, kAsTuple);
+    fits = aBody.Grow(parser.get().body().size());
   }
   if (error) {
     co_return co_await Reject(error);
   }
+  if (!fits) {
+    base::Log(base::LogEvent::CallRefused,
+              "no memory for the body of a request: bodies={} max={}",
+              mPolicy.mBodies.HeldBytes(),
+              mPolicy.mBodies.MaxBytes());
+    const base::Error overloaded{ base::ErrorKind::Overloaded,
+                                  "too many large bodies are in progress",
+                                  "" };
+    WholeAnswer answer = ErrorAnswer(overloaded, kRetryAfterShortMemory);
+    co_return co_await AnswerUnread(std::move(answer));
+  }
   aOut = parser.release();
   co_return ReadResult::Complete;
 }
@@ -157,9 +175,15 @@
     mGone = true;
     co_return ReadResult::Closed;
   }
-  mKeepAlive = false;
   WholeAnswer answer = ErrorAnswer(RejectionFor(aError), std::nullopt);
-  co_await SendWhole(std::move(answer));
+  co_return co_await AnswerUnread(std::move(answer));
+}
+
+boost::asio::awaitable<CallerSession::ReadResult>
+CallerSession::AnswerUnread(WholeAnswer aAnswer)
+{
+  mKeepAlive = false;
+  co_await SendWhole(std::move(aAnswer));
   co_return ReadResult::Answered;
 }
 
--- a/modules/gateway/src/caller_session.h
+++ b/modules/gateway/src/caller_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "body_memory.h"
 #include "caller_link.h"
 #include "sycamore/gateway/route_table.h"
 
@@ -19,6 +20,7 @@
 {
   std::function<CallerLimits()> mLimits;
   std::function<bool()> mStopping;
+  BodyMemory& mBodies;
 };
 
 // One connection of a caller. Reads and answers one request at a time.
@@ -54,8 +56,11 @@
   };
 
   boost::asio::awaitable<bool> WaitForBytes(base::Millis aTimeout);
-  boost::asio::awaitable<ReadResult> ReadRequest(CallerRequest& aOut);
+  // The request's body counts in aBody.
+  boost::asio::awaitable<ReadResult> ReadRequest(CallerRequest& aOut, BodyMemory::Hold& aBody);
   boost::asio::awaitable<ReadResult> Reject(boost::system::error_code aError);
+  // Answers a request that was not read to its end.
+  boost::asio::awaitable<ReadResult> AnswerUnread(WholeAnswer aAnswer);
   static boost::asio::awaitable<void> WatchForClose(std::shared_ptr<CallerSession> aSelf,
                                                     uint64_t aCall);
   boost::asio::awaitable<void> CloseGracefully();
--- a/modules/gateway/src/context.h
+++ b/modules/gateway/src/context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "body_memory.h"
 #include "crash_suspects.h"
 #include "metrics.h"
 #include "program_budgets.h"
@@ -49,6 +50,7 @@
     , mHeaderCodec(aHeaderCodec)
     , mMetrics(aMetrics)
     , mStore(aStore)
+    , mBodies(aSettings.mMemoryBytes)
     , mPool(aExecutor)
     , mPrograms(aExecutor,
                 aStore,
@@ -96,6 +98,7 @@
   const HeaderCodec& mHeaderCodec;
   Metrics& mMetrics;
   StorePaths& mStore;
+  BodyMemory mBodies;
   std::string mRegion;
   std::map<std::string, std::string> mRegionOfDomain;
   std::shared_ptr<const RouteTable> mRoutes; // Null until the configuration is known.
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -72,6 +72,9 @@
       [this](const std::string& aAttempt) { return mContext.mTexts.FindRecord(aAttempt); },
       [this](const wire::RelayRequestT& aRequest) { return mFactExchange.Serve(aRequest); }
     }
+    , mPolicy{ [this] { return mContext.mRoutes ? mContext.mRoutes->mLimits : CallerLimits{}; },
+               [this] { return mContext.mStopping; },
+               mContext.mBodies }
     , mCallers(mLoop)
     , mPeers(mLoop)
     , mReadiness(mLoop)
@@ -87,8 +90,6 @@
     mContext.mRegion = mSettings.mRegion;
     mContext.mRegionOfDomain = mSettings.mRegionOfDomain;
     mContext.mTieBreak = base::StableHash(mSettings.mInstance);
-    mPolicy = { [this] { return mContext.mRoutes ? mContext.mRoutes->mLimits : CallerLimits{}; },
-                [this] { return mContext.mStopping; } };
     mCallHandler = [this](CallerLink& aLink, CallerRequest aRequest) {
       return RunCall(mContext, aLink, std::move(aRequest));
     };
@@ -138,7 +139,7 @@
   Aggregator mAggregator;
   FactExchange mFactExchange;
   const RelayServices mRelayServices;
-  SessionPolicy mPolicy;
+  const SessionPolicy mPolicy;
   CallHandler mCallHandler;
   CallHandler mReadinessHandler;
   CallHandler mStatusHandler;
--- a/modules/gateway/src/metrics.cpp
+++ b/modules/gateway/src/metrics.cpp
@@ -92,6 +92,7 @@
   prometheus::Gauge& mPrograms{ Gauge("programs", "Programs known") };
   prometheus::Gauge& mTurns{ Gauge("turns", "Turns that can be continued") };
   prometheus::Gauge& mTextBytes{ Gauge("text_bytes", "Texts of turns in memory") };
+  prometheus::Gauge& mBodyBytes{ Gauge("body_bytes", "Bodies of calls under way") };
   prometheus::Gauge& mOpen{ Gauge("calls_open", "Calls under way") };
   prometheus::Gauge& mReady{ Gauge("ready", "1 if new connections are wanted") };
 };
@@ -185,6 +186,7 @@
   mImpl->mPrograms.Set(static_cast<double>(aGauges.mPrograms));
   mImpl->mTurns.Set(static_cast<double>(aGauges.mTurns));
   mImpl->mTextBytes.Set(static_cast<double>(aGauges.mTextBytes));
+  mImpl->mBodyBytes.Set(static_cast<double>(aGauges.mBodyBytes));
   mImpl->mOpen.Set(static_cast<double>(aGauges.mCallsOpen));
   mImpl->mReady.Set(aGauges.mReady ? 1 : 0);
   return prometheus::TextSerializer().Serialize(mImpl->mRegistry.Collect());
--- a/modules/gateway/src/metrics.h
+++ b/modules/gateway/src/metrics.h
@@ -44,6 +44,7 @@
   size_t mPrograms = 0;
   size_t mTurns = 0;
   size_t mTextBytes = 0; // Of the texts of turns in memory.
+  size_t mBodyBytes = 0; // Of the requests and answers in progress.
   size_t mCallsOpen = 0;
   bool mReady = false;
 };
--- a/modules/gateway/src/replica_exchange.cpp
+++ b/modules/gateway/src/replica_exchange.cpp
@@ -384,10 +384,20 @@
 {
   ExchangeResult result;
   result.mAnswer.base() = ForwardedHeader();
+  result.mBody = std::make_shared<BodyMemory::Hold>(mContext.mBodies);
+  // A length that is told counts at once: of many answers that grow together none would fit.
+  size_t bytes = std::min<uint64_t>(mParser->content_length().value_or(0), kMaxWholeAnswerBytes);
   std::string_view piece;
   do {
+    if (!result.mBody->Grow(bytes)) {
+      // Not the replica's failure. The call has run.
+      co_return ExchangeResult{
+        ExchangeStatus::Failed, true, {}, "too many large bodies are in progress"
+      };
+    }
     piece = co_await ReadPiece();
     result.mAnswer.body() += piece;
+    bytes = std::max(bytes, result.mAnswer.body().size());
   } while (!piece.empty() && result.mAnswer.body().size() <= kMaxWholeAnswerBytes);
   if (result.mAnswer.body().size() > kMaxWholeAnswerBytes) {
     co_return Failed("the answer is too long");
--- a/modules/gateway/src/replica_exchange.h
+++ b/modules/gateway/src/replica_exchange.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "body_memory.h"
 #include "caller_link.h"
 #include "context.h"
 #include "replica_pool.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -42,6 +44,7 @@
   std::string mDetail;                              // For the log.
   std::optional<ReportedLoad> mLoad = std::nullopt; // As reported with the answer.
   BreakStage mBreak = BreakStage::NotBroken;
+  std::shared_ptr<BodyMemory::Hold> mBody = nullptr; // Of mAnswer, if it was read.
 };
 
 // Whether the rest of a stream is wanted.
--- a/modules/gateway/src/state_dump.cpp
+++ b/modules/gateway/src/state_dump.cpp
@@ -24,6 +24,7 @@
   gauges.mPrograms = aContext.mPrograms.Programs().ProgramCount();
   gauges.mTurns = aContext.mPrograms.Programs().TurnCount();
   gauges.mTextBytes = aContext.mTexts.CachedBytes();
+  gauges.mBodyBytes = aContext.mBodies.HeldBytes();
   gauges.mCallsOpen = aContext.mCallsOpen;
   gauges.mReady = aContext.Ready();
   return gauges;
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -41,6 +41,8 @@
   : mContext(aContext)
   , mLink(aLink)
   , mCall(aCall)
+  , mPromptBody(aContext.mBodies)
+  , mOutputBody(aContext.mBodies)
   , mOutput(aContext.mHeaderCodec,
             aCall.mRoute->mKeepsHistory ? TurnOutput::Keep::History : TurnOutput::Keep::Nothing)
 {
@@ -172,6 +174,13 @@
   // Until the turn is acknowledged, which may take all of its time.
   const Millis needed = mCall.mRoute->mRetention + Until(mCall.mDeadline);
   mContext.mRenewals.Start(base::ValueOf(texts), needed, base::Clock::now() + kBackgroundTimeout);
+  size_t bytes = 0;
+  for (const TurnTextPtr& text : base::ValueOf(texts)) {
+    bytes += text->Bytes();
+  }
+  if (!mPromptBody.Grow(bytes)) {
+    co_return base::Error{ ErrorKind::Overloaded, "too many large bodies are in progress", "" };
+  }
   for (const TurnTextPtr& text : base::ValueOf(texts)) {
     mPrompt += text->mInput;
     mPrompt += text->mOutput;
@@ -297,7 +306,7 @@
   if (mOutput.Bytes() > kMaxTurnBytes || !mOutput.InSequence()) {
     co_return SinkResult::Unusable;
   }
-  if (KeepsHistory() && IsTooLong()) {
+  if (KeepsHistory() && (IsTooLong() || !mOutputBody.Grow(mOutput.Bytes()))) {
     co_return SinkResult::Cancel;
   }
   if (events.empty()) {
--- a/modules/settings/include/sycamore/settings/settings.h
+++ b/modules/settings/include/sycamore/settings/settings.h
@@ -63,6 +63,7 @@
   base::Millis mDefaultDeadline{ 120000 }; // Of a call without deadline_ms.
   base::Millis mDrainLimit{ 120000 };      // Longest graceful shutdown.
   size_t mHistoryCacheBytes = size_t{ 16 } << 20;
+  size_t mMemoryBytes = size_t{ 128 } << 20; // Gateway: that the process may use.
   size_t mMaxPendingBytes = size_t{ 8 } << 20;
   size_t mMaxBodyBytes = size_t{ 4 } << 20;
   std::string mOrdering = "remaining"; // Sidecar: "remaining", "attained" or "fifo" (baseline).
--- a/modules/settings/src/parse.cpp
+++ b/modules/settings/src/parse.cpp
@@ -194,11 +194,15 @@
 ReadLimits(ObjectReader& aReader, Settings& aOut)
 {
   constexpr size_t kKilobyte = 1024;
+  constexpr size_t kMegabyte = size_t{ 1 } << 20;
   constexpr size_t kGigabyte = size_t{ 1 } << 30;
   aReader.Integer<uint32_t>("partitions", 1, 1024, aOut.mPartitions);
   aReader.Integer<uint32_t>("store_partitions", 1, 1024, aOut.mStorePartitions);
   aReader.Real("appends_per_second", 0.1, 100000, aOut.mAppendsPerSecond);
   aReader.Integer<size_t>("history_cache_bytes", 0, 64 * kGigabyte, aOut.mHistoryCacheBytes);
+  size_t memoryMegabytes = aOut.mMemoryBytes / kMegabyte;
+  aReader.Integer<size_t>("memory_mb", 16, size_t{ 1 } << 20, memoryMegabytes);
+  aOut.mMemoryBytes = memoryMegabytes * kMegabyte;
   aReader.Integer<size_t>("max_pending_bytes", kKilobyte, kGigabyte, aOut.mMaxPendingBytes);
   aReader.Integer<size_t>("max_body_bytes", kKilobyte, kGigabyte, aOut.mMaxBodyBytes);
   ReadChoice(aReader, "ordering", kOrderings, aOut.mOrdering);
