Put the age of a page after its records

The codec fuzzer sets the members of StreamPage by position, so that it did not compile since the age came before the records. Found by a build of all targets; the builds before were of the targets that the changes name.

--- a/modules/gateway/include/sycamore/gateway/log_store.h
+++ b/modules/gateway/include/sycamore/gateway/log_store.h
@@ -73,9 +73,9 @@
   uint64_t mNext = 0;    // Offset after the last record read; where the next read starts.
   bool mExpired = false; // Records between the start of the read and mNext are no longer kept.
   bool mShared = false;  // From another gateway's copy, which may be behind the store.
+  std::vector<StreamRecord> mRecords;
   // Of a copy: time since it last had all records of the store.
   base::Millis mAge{ 0 };
-  std::vector<StreamRecord> mRecords;
 };
 
 // The newest record of each key of a keyed stream.
