Await the probes that may bar a request before it is sent

A request that crashes its replicas ended a fourth and fifth one if it came again at once, and GatewayStreamThatCrashesReplicasIsRefusedAfterThree failed for it now and then.

Cause: a crash counts when the probe of the replica has failed, up to 0.3 s after the connection broke; the request was sent meanwhile.

CrashSuspects counts the probes under way, and a request that is barred if they fail waits for them. At most three replicas end at one gateway, however soon the request comes again; no other request waits.

--- a/modules/gateway/src/crash_probe.cpp
+++ b/modules/gateway/src/crash_probe.cpp
@@ -24,6 +24,9 @@
   co_await SleepFor(kProbeDelay);
   auto connected = co_await aContext.mPool.Open(aState, kProbeTimeout);
   const std::vector<BrokenCall> broken = std::exchange(aState->mBroken, {});
+  for (const BrokenCall& call : broken) {
+    aContext.mSuspects.NoteProbeEnded(call.mRequest, call.mMayHaveBegun);
+  }
   if (base::IsOk(connected)) {
     ReplicaPool::Release(*aState, base::TakeValue(std::move(connected)), std::nullopt);
     co_return;
@@ -37,6 +40,7 @@
 NoteBrokenCall(Context& aContext, ReplicaStatePtr aState, RequestHash aRequest, bool aMayHaveBegun)
 {
   aState->mBroken.push_back({ aRequest, aMayHaveBegun });
+  aContext.mSuspects.NoteProbeStarted(aRequest, aMayHaveBegun);
   if (aState->mBroken.size() == 1) {
     boost::asio::co_spawn(aContext.mExecutor, Probe(aContext, std::move(aState)), LogFailure{});
   }
@@ -50,4 +54,12 @@
   }
 }
 
+boost::asio::awaitable<void>
+AwaitVerdict(Context& aContext, RequestHash aRequest, base::TimePoint aDeadline)
+{
+  while (aContext.mSuspects.AwaitsVerdict(aRequest) && base::Clock::now() < aDeadline) {
+    co_await SleepFor(kWaitInterval);
+  }
+}
+
 }
--- a/modules/gateway/src/crash_probe.h
+++ b/modules/gateway/src/crash_probe.h
@@ -17,4 +17,9 @@
 boost::asio::awaitable<void>
 AwaitCrashProbe(ReplicaStatePtr aState);
 
+// Waits while probes decide whether aRequest is barred; see CrashSuspects::AwaitsVerdict. A probe
+// takes 0.3 s at most.
+boost::asio::awaitable<void>
+AwaitVerdict(Context& aContext, RequestHash aRequest, base::TimePoint aDeadline);
+
 }
--- a/modules/gateway/src/crash_suspects.cpp
+++ b/modules/gateway/src/crash_suspects.cpp
@@ -3,6 +3,7 @@
 #include "sycamore/base/log.h"
 
 #include <algorithm>
+#include <cassert>
 #include <variant>
 
 namespace sycamore::gateway {
@@ -49,6 +50,44 @@
   return IsBarred(aRequest.mRequest) || IsBarred(aRequest.mPath);
 }
 
+bool
+CrashSuspects::AwaitsVerdict(const RequestHash& aRequest) const
+{
+  const auto probed = mProbed.find(aRequest.mRequest);
+  if (probed == mProbed.end() || mCompleted.Contains(aRequest.mRequest)) {
+    return false;
+  }
+  size_t crashed = probed->second.mBroken;
+  size_t begun = probed->second.mBegun;
+  if (const auto suspect = mSuspects.find(aRequest.mRequest); suspect != mSuspects.end()) {
+    if (suspect->second.mCompleted) {
+      return false;
+    }
+    crashed += suspect->second.mCrashed.size();
+    begun += suspect->second.mCrashedBegun.size();
+  }
+  return begun >= kMaxCrashesBegun || crashed >= kMaxCrashes;
+}
+
+void
+CrashSuspects::NoteProbeStarted(const RequestHash& aRequest, bool aMayHaveBegun)
+{
+  Probed& probed = mProbed[aRequest.mRequest];
+  ++probed.mBroken;
+  probed.mBegun += aMayHaveBegun ? 1 : 0;
+}
+
+void
+CrashSuspects::NoteProbeEnded(const RequestHash& aRequest, bool aMayHaveBegun)
+{
+  const auto probed = mProbed.find(aRequest.mRequest);
+  assert(probed != mProbed.end());
+  probed->second.mBegun -= aMayHaveBegun ? 1 : 0;
+  if (--probed->second.mBroken == 0) {
+    mProbed.erase(probed);
+  }
+}
+
 void
 CrashSuspects::NoteCrash(const RequestHash& aRequest, const Replica& aReplica, bool aMayHaveBegun)
 {
--- a/modules/gateway/src/crash_suspects.h
+++ b/modules/gateway/src/crash_suspects.h
@@ -31,6 +31,15 @@
   // Whether aRequest must not reach another replica.
   bool IsBarred(const RequestHash& aRequest) const;
 
+  // Whether aRequest is barred if the replicas at which it broke off here turn out to have ended:
+  // their probes are under way.
+  bool AwaitsVerdict(const RequestHash& aRequest) const;
+
+  // Records that aRequest broke off at a replica, and that the probe of that replica has ended.
+  // aMayHaveBegun as in NoteCrash.
+  void NoteProbeStarted(const RequestHash& aRequest, bool aMayHaveBegun);
+  void NoteProbeEnded(const RequestHash& aRequest, bool aMayHaveBegun);
+
   // Records that aReplica ended while it had aRequest. aMayHaveBegun is false if it had probably
   // only accepted it.
   void NoteCrash(const RequestHash& aRequest, const Replica& aReplica, bool aMayHaveBegun);
@@ -55,6 +64,13 @@
     base::TimePoint mExpires;
   };
 
+  // Calls that broke off at replicas whose probes are under way.
+  struct Probed
+  {
+    size_t mBroken = 0;
+    size_t mBegun = 0; // Of these, those that may have begun.
+  };
+
   static bool IsBarred(const Suspect& aSuspect);
   bool IsBarred(uint64_t aHash) const;
   void NoteCompleted(uint64_t aHash);
@@ -63,6 +79,7 @@
 
   SharedFacts& mFacts;
   std::map<uint64_t, Suspect> mSuspects; // By the hash of the request or of its path.
+  std::map<uint64_t, Probed> mProbed;    // By the hash of the request.
   RecentHashes mCompleted;               // Requests and paths that completed here.
 };
 
--- a/modules/gateway/src/dispatcher.cpp
+++ b/modules/gateway/src/dispatcher.cpp
@@ -268,6 +268,7 @@
   Sends sends;
   ChosenReplica chosen = Choose(aContext, aCall, aHint, sends.mTried);
   while (chosen.mState && base::Clock::now() < aCall.mDeadline) {
+    co_await AwaitVerdict(aContext, aCall.mHash, aCall.mDeadline);
     if (aContext.mSuspects.IsBarred(aCall.mHash)) {
       result.mBarred = true;
       break;
--- a/modules/gateway/tests/crash_suspects_test.cpp
+++ b/modules/gateway/tests/crash_suspects_test.cpp
@@ -49,6 +49,26 @@
   BOOST_TEST(mFacts.Next() == 2U); // For the request and for its path.
 }
 
+// Guards against a request that ends a fourth replica because it comes again before the probe of
+// the third one has ended, and against one that waits for probes that cannot bar it.
+BOOST_FIXTURE_TEST_CASE(CrashSuspectsRequestAwaitsProbesThatMayBarIt, CrashSuspectsFixture)
+{
+  mSuspects.NoteCrash(kCulprit, Started(), true);
+  mSuspects.NoteProbeStarted(kCulprit, true);
+  BOOST_TEST(!mSuspects.AwaitsVerdict(kCulprit)); // One more replica may end.
+  mSuspects.NoteProbeStarted(kCulprit, true);
+  BOOST_TEST(mSuspects.AwaitsVerdict(kCulprit));
+  mSuspects.NoteProbeEnded(kCulprit, true); // The replica was still there.
+  BOOST_TEST(!mSuspects.AwaitsVerdict(kCulprit));
+  mSuspects.NoteProbeStarted(kCulprit, false);
+  BOOST_TEST(!mSuspects.AwaitsVerdict(kCulprit)); // Accepted only: five are needed.
+  mSuspects.NoteProbeStarted(kCulprit, false);
+  mSuspects.NoteProbeStarted(kCulprit, false);
+  BOOST_TEST(mSuspects.AwaitsVerdict(kCulprit));
+  mSuspects.NoteCompleted(kCulprit);
+  BOOST_TEST(!mSuspects.AwaitsVerdict(kCulprit));
+}
+
 // Guards against a request that is barred although it has run: it was beside the culprit each time.
 BOOST_FIXTURE_TEST_CASE(CrashSuspectsRequestThatCompletedIsCleared, CrashSuspectsFixture)
 {
