Run one search of a texts' partition at a time

A search takes up to 1 MB of pages. After a loss of all gateways many turns lack a place at the same time, and each of their texts would have started its own search: six for a prompt, tens of megabytes for a few turns, on machines with 88 to 280 MB.

A text whose place is not known waits while another search of its partition runs, and is read at its place if that search met it. One pass over the stream serves all turns. TurnTextsOfManyTurnsAreFoundByOneSearch continues 40 turns without a place at once: all are found within the time of one call, in fewer than 70 reads.

--- a/modules/gateway/src/turn_texts.cpp
+++ b/modules/gateway/src/turn_texts.cpp
@@ -49,6 +49,32 @@
   std::optional<base::Error> mError = std::nullopt;
 };
 
+// Keeps other searches of a partition waiting: after a loss of gateways many turns lack a place,
+// and one pass over the stream serves all of them, in the memory of one search.
+class TurnTexts::SearchSlot
+{
+public:
+  SearchSlot(TurnTexts& aTexts, uint32_t aPartition)
+    : mTexts(aTexts)
+    , mPartition(aPartition)
+  {
+    mTexts.mSearched.insert(mPartition);
+  }
+
+  ~SearchSlot()
+  {
+    mTexts.mSearched.erase(mPartition);
+    mTexts.mSearchEnded.NotifyAll();
+  }
+
+  SearchSlot(const SearchSlot&) = delete;
+  SearchSlot& operator=(const SearchSlot&) = delete;
+
+private:
+  TurnTexts& mTexts;
+  uint32_t mPartition;
+};
+
 // Reads that serve one prompt.
 struct TurnTexts::Batch
 {
@@ -69,6 +95,7 @@
   , mStream(StreamName::Texts, aPartition)
   , mMaxBytes(aMaxBytes)
   , mAskWriter(std::move(aAskWriter))
+  , mSearchEnded(aExecutor)
   , mWriter(
       aExecutor,
       aStore,
@@ -236,45 +263,25 @@
     }
   }
   const programs::TextLocation& location = aReference.mLocation;
-  const StreamId stream(StreamName::Texts, location.mPartition);
-  const auto exact = location.mExact ? std::optional<uint64_t>(location.mFrom)
-                                     : mPlaces.Find(location.mPartition, aReference.mAttempt);
-  const uint32_t kilobytes = (location.mBytes + kRecordOverhead) / kKilobyte + 1;
-  const uint64_t unsearched = mPlaces.NextUnsearched(location.mPartition, location.mFrom);
-  const ReadRange range{ exact.value_or(unsearched),
-                         Millis(0),
-                         exact ? kilobytes : kFirstPageKilobytes };
   TurnTextPtr text;
-  const auto first = co_await ReadPage(stream, range, aReference.mAttempt, text);
-  if (!base::IsOk(first)) {
-    co_return base::ErrorOf(first);
+  if (const auto place = co_await FindPlace(aReference, aDeadline)) {
+    const StreamId stream(StreamName::Texts, location.mPartition);
+    const uint32_t kilobytes = (location.mBytes + kRecordOverhead) / kKilobyte + 1;
+    const ReadRange range{ *place, Millis(0), kilobytes };
+    const auto page = co_await ReadPage(stream, range, aReference.mAttempt, text);
+    if (!base::IsOk(page)) {
+      co_return base::ErrorOf(page);
+    }
+  } else {
+    auto found = co_await SearchText(aReference, aDeadline);
+    if (!base::IsOk(found)) {
+      co_return base::ErrorOf(found);
+    }
+    text = base::TakeValue(std::move(found));
   }
   if (text) {
     co_return text;
   }
-  const StreamPage& page = base::ValueOf(first);
-  if (!page.mRecords.empty()) {
-    size_t bytes = 0;
-    for (const StreamRecord& record : page.mRecords) {
-      bytes += record.mValue ? record.mValue->size() : 0;
-    }
-    Search search{ stream, aReference.mAttempt, aDeadline };
-    search.mNext = page.mNext;
-    search.mLimit = std::min(location.mFrom + kMaxSearchedRecords, page.mEnd);
-    search.mRecordsPerPart =
-      std::max<uint64_t>(page.mRecords.size() * kSearchPageKilobytes * kKilobyte / (bytes + 1), 1);
-    TaskGroup readers(mExecutor);
-    for (size_t i = 0; i < kMaxSearchReads; ++i) {
-      readers.Spawn(RunSearch(search));
-    }
-    co_await readers.Wait();
-    if (search.mText) {
-      co_return search.mText;
-    }
-    if (search.mError) {
-      co_return std::move(*search.mError);
-    }
-  }
   base::Log(base::LogEvent::LogReadFailed,
             "stream=texts partition={} attempt={} from={} exact={}: not found",
             location.mPartition,
@@ -284,6 +291,60 @@
   co_return base::Error{ ErrorKind::LogUnavailable, "a text of the history was not found", "" };
 }
 
+boost::asio::awaitable<std::optional<uint64_t>>
+TurnTexts::FindPlace(const TextReference& aReference, base::TimePoint aDeadline)
+{
+  const programs::TextLocation& location = aReference.mLocation;
+  if (location.mExact) {
+    co_return location.mFrom;
+  }
+  auto place = mPlaces.Find(location.mPartition, aReference.mAttempt);
+  while (!place && mSearched.contains(location.mPartition) && base::Clock::now() < aDeadline) {
+    co_await mSearchEnded.WaitUntil(aDeadline);
+    place = mPlaces.Find(location.mPartition, aReference.mAttempt);
+  }
+  co_return place;
+}
+
+boost::asio::awaitable<base::Result<TurnTextPtr>>
+TurnTexts::SearchText(const TextReference& aReference, base::TimePoint aDeadline)
+{
+  const programs::TextLocation& location = aReference.mLocation;
+  if (mSearched.contains(location.mPartition)) {
+    co_return TurnTextPtr(); // The deadline passed while another search ran.
+  }
+  const SearchSlot slot(*this, location.mPartition);
+  Search search{ StreamId(StreamName::Texts, location.mPartition), aReference.mAttempt, aDeadline };
+  const ReadRange range{ mPlaces.NextUnsearched(location.mPartition, location.mFrom),
+                         Millis(0),
+                         kFirstPageKilobytes };
+  const auto first = co_await ReadPage(search.mStream, range, search.mAttempt, search.mText);
+  if (!base::IsOk(first)) {
+    co_return base::ErrorOf(first);
+  }
+  const StreamPage& page = base::ValueOf(first);
+  if (search.mText || page.mRecords.empty()) {
+    co_return search.mText;
+  }
+  size_t bytes = 1;
+  for (const StreamRecord& record : page.mRecords) {
+    bytes += record.mValue ? record.mValue->size() : 0;
+  }
+  search.mNext = page.mNext;
+  search.mLimit = std::min(location.mFrom + kMaxSearchedRecords, page.mEnd);
+  search.mRecordsPerPart =
+    std::max<uint64_t>(page.mRecords.size() * kSearchPageKilobytes * kKilobyte / bytes, 1);
+  TaskGroup readers(mExecutor);
+  for (size_t i = 0; i < kMaxSearchReads; ++i) {
+    readers.Spawn(RunSearch(search));
+  }
+  co_await readers.Wait();
+  if (!search.mText && search.mError) {
+    co_return std::move(*search.mError);
+  }
+  co_return search.mText;
+}
+
 TurnTextPtr
 TurnTexts::FindCached(const std::string& aAttempt)
 {
--- a/modules/gateway/src/turn_texts.h
+++ b/modules/gateway/src/turn_texts.h
@@ -17,6 +17,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -76,6 +77,7 @@
 private:
   struct Batch;
   struct Search;
+  class SearchSlot;
 
   struct Entry
   {
@@ -93,6 +95,13 @@
                                                             ReadRange aRange,
                                                             const std::string& aAttempt,
                                                             TurnTextPtr& aOut);
+  // The place of a text, exact or met by a search. Waits, until aDeadline, while another search of
+  // the partition runs, which may meet it.
+  boost::asio::awaitable<std::optional<uint64_t>> FindPlace(const TextReference& aReference,
+                                                            base::TimePoint aDeadline);
+  // Searches the stream for a text whose place is not known; null if it is not found.
+  boost::asio::awaitable<base::Result<TurnTextPtr>> SearchText(const TextReference& aReference,
+                                                               base::TimePoint aDeadline);
   // Reads parts of the stream, one after the other, until the text is found.
   boost::asio::awaitable<void> RunSearch(Search& aSearch);
   TurnTextPtr FindCached(const std::string& aAttempt);
@@ -107,6 +116,8 @@
   std::list<std::string> mRecentlyUsed; // Attempts, the most recently used one first.
   std::unordered_map<std::string, Entry> mEntries;
   TextPlaces mPlaces;
+  std::set<uint32_t> mSearched; // Partitions with a search under way.
+  Signal mSearchEnded;
   uint64_t mNextOffset = 0;
   base::TimePoint mNextOffsetKnownAt; // When mNextOffset was last updated.
   RecordWriter mWriter;
--- a/modules/gateway/tests/turn_texts_test.cpp
+++ b/modules/gateway/tests/turn_texts_test.cpp
@@ -151,6 +151,31 @@
   BOOST_TEST(mStore.mReads == reads + 1);
 }
 
+// Load pattern: all gateways were killed, and many turns whose writers told no place are continued
+// at the same time. Guards against a search for each of them, whose pages together exceed the
+// memory of the process.
+BOOST_FIXTURE_TEST_CASE(TurnTextsOfManyTurnsAreFoundByOneSearch, TurnTextsFixture)
+{
+  constexpr size_t kTurns = 40;
+  FillStream(100);
+  mStore.mLatency = kRemoteLatency;
+  size_t found = 0;
+  const auto load =
+    [](TurnTextsFixture& aFixture, size_t aTurn, size_t& aFound) -> boost::asio::awaitable<void> {
+    std::vector<TextReference> references{ { "t" + std::to_string(99 - aTurn),
+                                             TextLocation{ 0, false, 24000 } } };
+    const auto texts =
+      co_await aFixture.mReader.Load(std::move(references), base::Clock::now() + kCallLimit);
+    aFound += base::IsOk(texts) ? 1 : 0;
+  };
+  for (size_t turn = 0; turn < kTurns; ++turn) {
+    Spawn(load(*this, turn, found));
+  }
+  RunUntil([&] { return found == kTurns; });
+  // The pages of one search, and a page for each of the other turns.
+  BOOST_TEST(mStore.mReads < 70);
+}
+
 // Guards against a wrong text, or an endless search, for a turn whose text is not in the stream.
 BOOST_FIXTURE_TEST_CASE(TurnTextsThatAreMissingAreAnError, TurnTextsFixture)
 {
