Build on x86-64: keep GCC's check of new and delete off Asio's frames

Cause: g++ 12.2 on x86-64 ended the deploy build in dispatcher.cpp and turn_runner.cpp with -Werror=mismatched-new-delete. The warning names awaitable_frame_base::operator delete(void*, size_t), called on a pointer that aligned_alloc returned. Both ends belong to one class of Asio 1.81: its operator new calls thread_info_base::allocate, aligned_new and std::aligned_alloc; its operator delete calls thread_info_base::deallocate, aligned_delete and std::free. GCC inlines the operator new into some coroutines and not the operator delete, and compares the inlined aligned_alloc with the class's operator delete. Nothing is freed with another function than its own.

Change: BOOST_ASIO_DISABLE_STD_ALIGNED_ALLOC, for all files alike since the function is inline. Asio then takes posix_memalign, whose memory is freed with free as well. No warning is switched off: a file that frees memory of operator new with std::free still fails to compile with these flags.

Ruled out: a pragma at the two functions (the coroutines concerned change with the inliner: on arm64 they were turn_runner and relay_server), -Wno-mismatched-new-delete (gives up the check).

--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -2,6 +2,11 @@
 add_library(sycamore_options INTERFACE)
 target_compile_options(sycamore_options INTERFACE -Wall -Wextra -Wpedantic -Werror)
 target_compile_definitions(sycamore_options INTERFACE BOOST_TEST_DYN_LINK BOOST_ASIO_NO_DEPRECATED)
+# Asio 1.81 allocates coroutine frames with its own operator new, which calls std::aligned_alloc, and
+# frees them with the operator delete of the same class. GCC 12 inlines only the former into some
+# coroutines and then reports -Wmismatched-new-delete, wrongly. With this definition Asio calls
+# posix_memalign in place of aligned_alloc, and the warning stays enabled.
+target_compile_definitions(sycamore_options INTERFACE BOOST_ASIO_DISABLE_STD_ALIGNED_ALLOC)
 target_link_libraries(sycamore_options INTERFACE Threads::Threads fmt::fmt)
 if(SYCAMORE_TSAN)
   target_compile_options(sycamore_options INTERFACE -fsanitize=thread -Wno-tsan)
