Client accounts: API keys, history by account, quotas over all gateways

Change: module accounts (keys by digest, sliding counts, shares of a quota, totals of a hub), a usage exchange between gateways through the hubs of the shared facts, account_access in the gateway's path, accounts in the adapter, the account in a turn's record, sticky routes by rendezvous hashing. Switched on by a configuration that has accounts.

--- /dev/null
+++ b/modules/accounts/tests/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE accounts
+#include <boost/test/unit_test.hpp>
--- a/modules/base/include/sycamore/base/error_kind.h
+++ b/modules/base/include/sycamore/base/error_kind.h
@@ -17,6 +17,7 @@
   UnknownRoute,
   MethodNotAllowed,
   UnknownAccount,
+  UnknownKey,
   UnknownProgram,
   UnknownTurn,
   UnknownService,
--- a/modules/base/include/sycamore/base/log_event.h
+++ b/modules/base/include/sycamore/base/log_event.h
@@ -61,6 +61,7 @@
   ReplicaTry = 409,
   CrashSuspected = 410,
   RequestBarred = 411,
+  AccountRefused = 412,
   TableChanged = 500,
   EditRejected = 501,
   TableStale = 502,
--- a/modules/base/src/error_kind.cpp
+++ b/modules/base/src/error_kind.cpp
@@ -17,6 +17,7 @@
   { K::UnknownRoute, "unknown_route", 404, R::NotACall, false },
   { K::MethodNotAllowed, "method_not_allowed", 405, R::NotACall, false },
   { K::UnknownAccount, "unknown_account", 403, R::NotRun, false },
+  { K::UnknownKey, "unknown_key", 401, R::NotRun, false },
   { K::UnknownProgram, "unknown_program", 404, R::NotRun, false },
   { K::UnknownTurn, "unknown_turn", 404, R::NotRun, false },
   { K::UnknownService, "unknown_service", 404, R::NotRun, false },
--- a/modules/base/src/log_event.cpp
+++ b/modules/base/src/log_event.cpp
@@ -49,6 +49,7 @@
   { LogEvent::ReplicaTry, "replica_try", LogLevel::Info },
   { LogEvent::CrashSuspected, "crash_suspected", LogLevel::Info },
   { LogEvent::RequestBarred, "request_barred", LogLevel::Warning },
+  { LogEvent::AccountRefused, "account_refused", LogLevel::Info },
   { LogEvent::TableChanged, "table_changed", LogLevel::Info },
   { LogEvent::EditRejected, "edit_rejected", LogLevel::Warning },
   { LogEvent::TableStale, "table_stale", LogLevel::Warning },
--- a/modules/gateway/include/sycamore/gateway/call_head.h
+++ b/modules/gateway/include/sycamore/gateway/call_head.h
@@ -24,6 +24,7 @@
   std::optional<uint64_t> mLastEvent; // That id; nothing if it is not a number.
   std::string mSession;               // Of one line of turns of the program.
   std::vector<PromptPart> mPrompt;    // Empty if the request does not name its parts.
+  std::string mObject;                // That the request is about; empty if it names none.
   uint64_t mPromptTokens = 0;
   uint64_t mMaxOutputTokens = 0;
   bool mMalformed = false; // A header of the call has an invalid value.
--- a/modules/gateway/include/sycamore/gateway/header_codec.h
+++ b/modules/gateway/include/sycamore/gateway/header_codec.h
@@ -27,6 +27,7 @@
   std::optional<uint32_t> mPriority; // 0 is the most urgent of 10.
   // Nothing: the stream starts where the caller asked.
   std::optional<ResumePoint> mResume = std::nullopt;
+  std::string_view mAccount = {}; // Name of the client account; empty on a public route.
 };
 
 // Load that a replica reported with an answer.
@@ -69,6 +70,9 @@
 
   virtual CallHead DecodeCall(const Fields& aFields) const = 0;
 
+  // Removes the API key from aFields and returns it; nothing if there is none, or more than one.
+  virtual std::optional<std::string> TakeApiKey(Fields& aFields) const = 0;
+
   // Removes the headers that callers may not set from aFields, and adds those of aCall.
   virtual void PrepareForReplica(Fields& aFields, const ReplicaCall& aCall) const = 0;
 
--- a/modules/gateway/include/sycamore/gateway/platform_codec.h
+++ b/modules/gateway/include/sycamore/gateway/platform_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sycamore/base/result.h"
 #include "sycamore/gateway/replica.h"
 #include "sycamore/gateway/route_table.h"
 
@@ -19,8 +20,9 @@
   // Key of the configuration in its stream.
   virtual std::string_view ConfigurationKey() const = 0;
 
-  // Nothing if any part of aText is invalid.
-  virtual std::optional<RouteTable> DecodeConfiguration(std::string_view aText) const = 0;
+  // InvalidField, with what is wrong, if any part of aText is invalid. The message holds no API
+  // key.
+  virtual base::Result<RouteTable> DecodeConfiguration(std::string_view aText) const = 0;
 
   // Nothing if aText does not describe a usable replica.
   virtual std::optional<Replica> DecodeReplica(const std::string& aId,
--- a/modules/gateway/include/sycamore/gateway/route_table.h
+++ b/modules/gateway/include/sycamore/gateway/route_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sycamore/accounts/account_table.h"
 #include "sycamore/base/clock.h"
 
 #include <cstddef>
@@ -41,6 +42,8 @@
   uint32_t mPriority = 0;           // 0 is the most urgent.
   bool mKeepsHistory = false;       // Requests carry only the new input of a turn.
   bool mResumable = false;          // A stream may be continued after its last event.
+  bool mPublic = false;             // Requests need no API key.
+  bool mSticky = false;             // Replicas serve an object faster that they served recently.
   base::Millis mRetention{ 0 };     // Time for which a turn can be continued.
   std::vector<Backend> mBackends;   // At least one.
 };
@@ -75,6 +78,7 @@
   uint64_t mVersion = 0;
   std::vector<Route> mRoutes;
   std::map<std::string, Service> mServices;
+  accounts::AccountTable mAccounts;
   CallerLimits mLimits;
 };
 
--- a/modules/gateway/src/call.h
+++ b/modules/gateway/src/call.h
@@ -8,6 +8,7 @@
 #include "sycamore/gateway/route_table.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace sycamore::gateway {
@@ -25,6 +26,10 @@
   base::TimePoint mArrived;
   base::TimePoint mDeadline; // The caller's, or the route's timeout if that is earlier.
   CallTrace mTrace;
+  const accounts::Account* mAccount = nullptr; // In mTable; null on a public route.
+  std::optional<accounts::KeyDigest> mKey;     // That the caller sent; set with mAccount.
+  uint64_t mAccountId = accounts::kUnknownAccount;
+  bool mMayHaveRun = false; // A replica that may have run it has received it.
 
   // The engine of the service; null if it has none, or the table does not describe it.
   const EngineProfile* Engine() const
--- a/modules/gateway/src/call_runner.cpp
+++ b/modules/gateway/src/call_runner.cpp
@@ -1,5 +1,6 @@
 #include "call_runner.h"
 
+#include "account_access.h"
 #include "call.h"
 #include "dispatcher.h"
 #include "elapsed.h"
@@ -60,6 +61,7 @@
   if (!aCall.mTable) {
     return base::Error{ ErrorKind::ConfigStale, "no configuration is known yet", "" };
   }
+  const std::optional<std::string> key = TakeKey(aContext, aCall);
   aCall.mRoute = FindRoute(
     *aCall.mTable, ToView(aCall.mRequest[http::field::host]), ToView(aCall.mRequest.target()));
   if (aCall.mRoute == nullptr) {
@@ -70,6 +72,9 @@
                         "a header of the call is missing or invalid",
                         "" };
   }
+  if (auto error = CheckAccount(aContext, key, aCall)) {
+    return error;
+  }
   if (aCall.mRoute->mTimeout > Millis(0)) {
     aCall.mDeadline = std::min(aCall.mDeadline, aCall.mArrived + aCall.mRoute->mTimeout);
   }
@@ -77,9 +82,9 @@
     // The end of the process would cut the connection, which says nothing of whether the call ran.
     aCall.mDeadline = std::min(aCall.mDeadline, aContext.mStopsAt - kStopMargin);
   }
-  const std::string& key =
+  const std::string& splitKey =
     aCall.mHead.mProgram.empty() ? aCall.mHead.mAttempt : aCall.mHead.mProgram;
-  aCall.mServiceName = ServiceFor(*aCall.mRoute, key);
+  aCall.mServiceName = ServiceFor(*aCall.mRoute, splitKey);
   const auto service = aCall.mTable->mServices.find(aCall.mServiceName);
   aCall.mService = service == aCall.mTable->mServices.end() ? nullptr : &service->second;
   return std::nullopt;
@@ -104,6 +109,22 @@
   co_return co_await SendRefusal(aLink, aCall, error);
 }
 
+static boost::asio::awaitable<CallOutcome>
+RunResolved(Context& aContext, CallerLink& aLink, Call& aCall)
+{
+  const QuotaGuard quota(aContext, aCall);
+  if (!quota.Verdict().mAllowed) {
+    co_return co_await RefuseOverQuota(aLink, aCall, quota.Verdict());
+  }
+  if (aCall.mRoute->mKind == CallKind::Stream) {
+    TurnRunner runner(aContext, aLink, aCall);
+    CallOutcome outcome = co_await runner.Run();
+    co_return outcome;
+  }
+  CallOutcome outcome = co_await RunSingle(aContext, aLink, aCall);
+  co_return outcome;
+}
+
 boost::asio::awaitable<void>
 RunCall(Context& aContext, CallerLink& aLink, CallerRequest aRequest)
 {
@@ -118,18 +139,16 @@
   } else if (aContext.mSuspects.IsBarred(call.mHash)) {
     const base::Error barred = BarredError();
     outcome = co_await SendRefusal(aLink, call, barred);
-  } else if (call.mRoute->mKind == CallKind::Stream) {
-    TurnRunner runner(aContext, aLink, call);
-    outcome = co_await runner.Run();
   } else {
-    outcome = co_await RunSingle(aContext, aLink, call);
+    outcome = co_await RunResolved(aContext, aLink, call);
   }
   const auto took = Since(call.mArrived);
   aContext.mMetrics.NoteCall(outcome, took);
   base::Log(base::LogEvent::GatewayCall,
-            "attempt={} program={} route={} config={} took_ms={} {}outcome=\"{}\"",
+            "attempt={} program={} account={} route={} config={} took_ms={} {}outcome=\"{}\"",
             call.mHead.mAttempt,
             call.mHead.mProgram,
+            call.mAccount != nullptr ? call.mAccount->mName : "-",
             call.mRoute != nullptr ? call.mRoute->mName : "-",
             call.mTable ? call.mTable->mVersion : 0,
             took.count(),
--- a/modules/gateway/src/context.h
+++ b/modules/gateway/src/context.h
@@ -5,11 +5,13 @@
 #include "metrics.h"
 #include "program_budgets.h"
 #include "program_logs.h"
+#include "refusal_log.h"
 #include "replica_limits.h"
 #include "replica_pool.h"
 #include "shared_facts.h"
 #include "shared_prompts.h"
 #include "store_paths.h"
+#include "sycamore/accounts/account_usage.h"
 #include "sycamore/base/random.h"
 #include "sycamore/gateway/header_codec.h"
 #include "sycamore/gateway/log_store.h"
@@ -79,6 +81,8 @@
               { aSettings.mInstance, aSettings.mPeer, aSettings.mDomain, aSettings.mLinkMbits },
               [this](const std::string& aDomain) { return RegionOf(aDomain); })
     , mSuspects(mFacts)
+    , mUsage(aSettings.mQuota, aSettings.mInstance)
+    , mRevocation(aSettings.mRevocation)
     , mWriterHash(WriterHash(aSettings.mInstance))
   {
   }
@@ -114,6 +118,9 @@
   SharedFacts mFacts;
   ReplicaLimits mLimits;
   CrashSuspects mSuspects;
+  accounts::AccountUsage mUsage;
+  const settings::RevocationSettings mRevocation;
+  mutable RefusalLog mRefusalLog;
   const uint32_t mWriterHash; // Of this instance.
   bool mStopping = false;
   base::TimePoint mStopsAt = base::TimePoint::max(); // While stopping: when the process ends.
--- a/modules/gateway/src/dispatcher.cpp
+++ b/modules/gateway/src/dispatcher.cpp
@@ -1,8 +1,10 @@
 #include "dispatcher.h"
 
+#include "account_access.h"
 #include "async.h"
 #include "crash_probe.h"
 #include "elapsed.h"
+#include "object_affinity.h"
 #include "prompt_affinity.h"
 #include "sycamore/base/log.h"
 #include "sycamore/gateway/replica_choice.h"
@@ -81,6 +83,9 @@
                          : states.back()->mPrompts.KeptTokens(prompt);
     views.push_back(view);
   }
+  if (prompt.empty() && aCall.mRoute->mSticky && !aCall.mHead.mObject.empty()) {
+    MarkHome(aCall.mHead.mObject, views);
+  }
   if (!prompt.empty()) {
     aContext.mSharedPrompts.Note(prompt.front(), now);
     const bool replicaKnown = !aHint.mPrefixReplica.empty();
@@ -127,7 +132,12 @@
   }
   const auto left = Until(aCall.mDeadline);
   aContext.mHeaderCodec.PrepareForReplica(
-    request, { aReplica.mId, std::max(left, Millis(1)), std::nullopt, aResume });
+    request,
+    { aReplica.mId,
+      std::max(left, Millis(1)),
+      std::nullopt,
+      aResume,
+      aCall.mAccount != nullptr ? std::string_view(aCall.mAccount->mName) : std::string_view() });
   return request;
 }
 
@@ -273,6 +283,10 @@
       result.mBarred = true;
       break;
     }
+    if (IsRevoked(aContext, aCall)) {
+      result.mRevoked = true;
+      break;
+    }
     const Replica replica = chosen.mState->mReplica;
     const uint32_t failures = chosen.mState->mRecentFailures;
     const auto resume = aSink != nullptr ? aSink->Progress().mResume : std::nullopt;
@@ -301,6 +315,8 @@
       aContext.mLimits.Return(replica, base::Clock::now());
     }
     result.mMayHaveRun = result.mMayHaveRun || result.mExchange.mStatus == ExchangeStatus::Failed;
+    aCall.mMayHaveRun = aCall.mMayHaveRun || (result.mExchange.mSent &&
+                                              result.mExchange.mStatus != ExchangeStatus::NotRun);
     aContext.mMetrics.NoteReplicaTry(StatusName(result.mExchange.mStatus));
     if (!result.mExchange.mDetail.empty() || resume) {
       base::Log(
@@ -359,6 +375,9 @@
   if (aResult.mBarred && !aResult.mMayHaveRun) {
     return BarredError();
   }
+  if (aResult.mRevoked && !aResult.mMayHaveRun) {
+    return UnknownKeyError();
+  }
   switch (aResult.mMayHaveRun ? ExchangeStatus::Failed : aResult.mExchange.mStatus) {
     case ExchangeStatus::NotRun:
       return { aResult.mSends == 0 && !aResult.mAtLimit ? ErrorKind::NoTarget
--- a/modules/gateway/src/dispatcher.h
+++ b/modules/gateway/src/dispatcher.h
@@ -25,6 +25,7 @@
   uint32_t mSends = 0;      // To replicas.
   bool mMayHaveRun = false; // At one of them, without a usable answer.
   bool mBarred = false;     // It must not reach another replica, see CrashSuspects.
+  bool mRevoked = false;    // Its API key was taken away before it was sent.
   bool mAtLimit = false;    // Replicas were left, but their request limits allowed no call.
 };
 
--- a/modules/gateway/src/fact_exchange.h
+++ b/modules/gateway/src/fact_exchange.h
@@ -42,6 +42,9 @@
   // or knows no other.
   std::string Hub() { return HubOf(mOwn.mDomain); }
 
+  // The hub of aDomain; empty if this gateway is it, or none can be reached.
+  std::string HubOf(const std::string& aDomain);
+
 private:
   // Another gateway that may be a hub.
   struct Peer
@@ -59,7 +62,6 @@
 
   // The candidates for the hub of aDomain, the preferred one first.
   const std::vector<std::string>& Ranked(const std::string& aDomain);
-  std::string HubOf(const std::string& aDomain);
   // Whether gateways of other failure domains may take this one as the hub of its own.
   bool IsCandidate();
   boost::asio::awaitable<void> FollowOwnDomain();
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -14,6 +14,7 @@
 #include "sycamore/base/log.h"
 #include "sycamore/base/random.h"
 #include "sycamore/programs/record_age.h"
+#include "usage_exchange.h"
 
 #include <algorithm>
 #include <atomic>
@@ -65,12 +66,19 @@
                     mContext.mFacts,
                     mOwn,
                     [this] { return mContext.mStopping; })
+    , mUsageExchange(mLoop.get_executor(),
+                     mFactExchange,
+                     mContext.mUsage,
+                     mSettings.mQuota,
+                     mOwn,
+                     [this] { return mContext.mRoutes ? &mContext.mRoutes->mAccounts : nullptr; })
     , mRelayServices{
       mStore.DirectForPeers(),
       mAggregator,
       [this] { return mContext.mStopping; },
       [this](const std::string& aAttempt) { return mContext.mTexts.FindRecord(aAttempt); },
-      [this](const wire::RelayRequestT& aRequest) { return mFactExchange.Serve(aRequest); }
+      [this](const wire::RelayRequestT& aRequest) { return mFactExchange.Serve(aRequest); },
+      [this](const wire::RelayRequestT& aRequest) { return mUsageExchange.Serve(aRequest); }
     }
     , mPolicy{ [this] { return mContext.mRoutes ? mContext.mRoutes->mLimits : CallerLimits{}; },
                [this] { return mContext.mStopping; },
@@ -84,6 +92,7 @@
     mStore.OnMembersChanged([this](const std::vector<Member>& aMembers) {
       KeepRecordsForOthers();
       mFactExchange.SetMembers(aMembers);
+      mUsageExchange.SetMembers(aMembers);
       mContext.mLimits.SetMembers(aMembers);
     });
     KeepRecordsForOthers();
@@ -138,6 +147,7 @@
   Context mContext;
   Aggregator mAggregator;
   FactExchange mFactExchange;
+  UsageExchange mUsageExchange;
   const RelayServices mRelayServices;
   const SessionPolicy mPolicy;
   CallHandler mCallHandler;
@@ -209,6 +219,7 @@
   Spawn(mContext.mBudgets.Run());
   Spawn(mContext.mTexts.Run());
   Spawn(mFactExchange.Run());
+  Spawn(mUsageExchange.Run());
   Spawn(Cleanup());
   Spawn(AcceptPeers());
   Spawn(KeepMembership(mStore, mOwn));
@@ -339,22 +350,29 @@
   if (aRecord.mKey != mAdapters.mCodec->ConfigurationKey() || !aRecord.mValue) {
     return;
   }
-  auto table = mAdapters.mCodec->DecodeConfiguration(*aRecord.mValue);
+  auto decoded = mAdapters.mCodec->DecodeConfiguration(*aRecord.mValue);
   const uint64_t current = mContext.mRoutes ? mContext.mRoutes->mVersion : 0;
-  if (!table) {
-    base::Log(LogEvent::EditRejected, "offset={} the configuration is invalid", aRecord.mOffset);
+  if (!base::IsOk(decoded)) {
+    base::Log(LogEvent::EditRejected,
+              "offset={} the configuration is invalid: {}; version {} stays in force",
+              aRecord.mOffset,
+              base::ErrorOf(decoded).mMessage,
+              current);
     return;
   }
-  if (mContext.mRoutes && table->mVersion <= current) {
+  RouteTable table = base::TakeValue(std::move(decoded));
+  if (mContext.mRoutes && table.mVersion <= current) {
     return; // An older version never replaces a newer one.
   }
   base::Log(LogEvent::TableChanged,
-            "version={} before={} routes={} services={}",
-            table->mVersion,
+            "version={} before={} routes={} services={} accounts={} keys={}",
+            table.mVersion,
             current,
-            table->mRoutes.size(),
-            table->mServices.size());
-  mContext.mRoutes = std::make_shared<const RouteTable>(std::move(*table));
+            table.mRoutes.size(),
+            table.mServices.size(),
+            table.mAccounts.mAccounts.size(),
+            table.mAccounts.mKeys.Size());
+  mContext.mRoutes = std::make_shared<const RouteTable>(std::move(table));
   WarnAboutRetention();
 }
 
--- a/modules/gateway/src/metrics.cpp
+++ b/modules/gateway/src/metrics.cpp
@@ -6,6 +6,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
+#include <set>
 
 namespace sycamore::gateway {
 
@@ -17,6 +18,8 @@
   0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.1, 0.2, 0.31, 0.4, 0.6, 1, 2, 4, 10
 };
 
+static constexpr size_t kMaxAccountCounters = 200;
+
 static std::string
 FullName(const char* aName)
 {
@@ -66,6 +69,9 @@
   prometheus::Registry mRegistry;
   Counters& mCalls{ CounterFamily("calls_total", "Calls by how they ended") };
   Counters& mRefusals{ CounterFamily("refusals_total", "Calls refused, by code of the error") };
+  Counters& mAccountRefusals{ CounterFamily("account_refusals_total",
+                                            "Requests refused, by account and reason") };
+  std::set<std::string, std::less<>> mAccountNames; // With a counter of their own.
   Counters& mTries{ CounterFamily("replica_tries_total", "Sends to replicas by result") };
   Counters& mStoreCalls{ CounterFamily("store_calls_total", "Direct calls to the store") };
   Counters& mStoreBytes{ CounterFamily("store_bytes_total",
@@ -88,6 +94,9 @@
                                              "Replicas that name a request limit") };
   prometheus::Gauge& mBarredRequests{ Gauge("barred_requests",
                                             "Requests that have crashed replicas") };
+  prometheus::Gauge& mAccounts{ Gauge("accounts", "Accounts in the configuration") };
+  prometheus::Gauge& mCountedAccounts{ Gauge("accounts_counted",
+                                             "Accounts with requests in the window of quotas") };
   prometheus::Gauge& mFacts{ Gauge("facts", "Facts known, those of other gateways included") };
   prometheus::Gauge& mPrograms{ Gauge("programs", "Programs known") };
   prometheus::Gauge& mTurns{ Gauge("turns", "Turns that can be continued") };
@@ -148,6 +157,22 @@
   mImpl->mReservation.Observe(ToSeconds(aTook));
 }
 
+void
+Metrics::NoteAccountRefusal(std::string_view aAccount, std::string_view aReason)
+{
+  auto& names = mImpl->mAccountNames;
+  std::string name(aAccount);
+  if (!names.contains(name)) {
+    if (names.size() < kMaxAccountCounters) {
+      names.insert(name);
+    } else {
+      name = "others";
+    }
+  }
+  mImpl->mAccountRefusals.Add({ { "account", name }, { "reason", std::string(aReason) } })
+    .Increment();
+}
+
 void
 Metrics::NoteReplicaTry(std::string_view aResult)
 {
@@ -182,6 +207,8 @@
   mImpl->mReplicas.Set(static_cast<double>(aGauges.mReplicas));
   mImpl->mLimitedReplicas.Set(static_cast<double>(aGauges.mLimitedReplicas));
   mImpl->mBarredRequests.Set(static_cast<double>(aGauges.mBarredRequests));
+  mImpl->mAccounts.Set(static_cast<double>(aGauges.mAccounts));
+  mImpl->mCountedAccounts.Set(static_cast<double>(aGauges.mCountedAccounts));
   mImpl->mFacts.Set(static_cast<double>(aGauges.mFacts));
   mImpl->mPrograms.Set(static_cast<double>(aGauges.mPrograms));
   mImpl->mTurns.Set(static_cast<double>(aGauges.mTurns));
--- a/modules/gateway/src/metrics.h
+++ b/modules/gateway/src/metrics.h
@@ -40,6 +40,8 @@
   size_t mReplicas = 0;
   size_t mLimitedReplicas = 0; // That name a request limit.
   size_t mBarredRequests = 0;  // That have crashed the replicas which began them.
+  size_t mAccounts = 0;        // In the configuration.
+  size_t mCountedAccounts = 0; // With requests in the window of quotas, here or elsewhere.
   size_t mFacts = 0;           // Own ones and those of other gateways.
   size_t mPrograms = 0;
   size_t mTurns = 0;
@@ -69,6 +71,10 @@
   // Time until a reservation was granted or refused.
   void NoteReservation(base::Millis aTook);
 
+  // Counts a request of aAccount that was refused for aReason. The number of accounts with a
+  // counter of their own is bounded; the rest share one.
+  void NoteAccountRefusal(std::string_view aAccount, std::string_view aReason);
+
   // Counts an attempt to send a call to a replica, by its result.
   void NoteReplicaTry(std::string_view aResult);
 
--- a/modules/gateway/src/refusal.cpp
+++ b/modules/gateway/src/refusal.cpp
@@ -3,6 +3,8 @@
 #include "elapsed.h"
 
 #include <algorithm>
+#include <fmt/format.h>
+#include <utility>
 
 namespace sycamore::gateway {
 
@@ -26,4 +28,16 @@
   co_return CallOutcome{ CallEnd::Refused, aError.mMessage, aError.mKind };
 }
 
+boost::asio::awaitable<CallOutcome>
+RefuseOverQuota(CallerLink& aLink, const Call& aCall, const accounts::QuotaVerdict& aVerdict)
+{
+  const base::Error error{ base::ErrorKind::RequestLimit,
+                           fmt::format("the account {} has used up its request limit",
+                                       aCall.mAccount->mName),
+                           "" };
+  WholeAnswer refusal = ErrorAnswer(error, aVerdict.mRetryAfter);
+  co_await aLink.SendWhole(std::move(refusal));
+  co_return CallOutcome{ CallEnd::Refused, error.mMessage, error.mKind };
+}
+
 }
--- a/modules/gateway/src/refusal.h
+++ b/modules/gateway/src/refusal.h
@@ -3,6 +3,7 @@
 #include "call.h"
 #include "call_outcome.h"
 #include "caller_link.h"
+#include "sycamore/accounts/account_usage.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -20,4 +21,9 @@
             const base::Error& aError,
             base::Millis aRetryAfter = kRetryAfter);
 
+// Answers aCall, whose account has used up its quota, with 429. The Retry-After time is when the
+// quota has room again, even if the caller has less time than that.
+boost::asio::awaitable<CallOutcome>
+RefuseOverQuota(CallerLink& aLink, const Call& aCall, const accounts::QuotaVerdict& aVerdict);
+
 }
--- a/modules/gateway/src/relay_client.cpp
+++ b/modules/gateway/src/relay_client.cpp
@@ -192,6 +192,36 @@
   co_return answer;
 }
 
+LogStore::Async<RelayClient::UsageAnswer>
+RelayClient::Usage(UsageRequest aRequest, Millis aTimeout)
+{
+  wire::RelayRequestT request;
+  request.operation = wire::RelayOperation::Usage;
+  request.stream = kStreamCount; // A gateway that does not know the operation refuses the stream.
+  request.key = aRequest.mSender;
+  request.shared = aRequest.mOfDomain;
+  request.epoch = aRequest.mEpoch;
+  request.fresh = aRequest.mFull;
+  AddRecord(accounts::EncodeUsage(aRequest.mRows), request);
+  const auto response = co_await Call(std::move(request), aTimeout);
+  const auto page = AnswerOf(response, PageOf);
+  if (!base::IsOk(page)) {
+    co_return base::ErrorOf(page);
+  }
+  UsageAnswer answer;
+  answer.mComplete = base::ValueOf(response).joined;
+  answer.mKnowledgeAge = base::ValueOf(page).mAge;
+  bool valid = false;
+  const std::vector<StreamRecord>& records = base::ValueOf(page).mRecords;
+  if (records.size() == 1 && records.front().mValue) {
+    answer.mRows = accounts::DecodeUsage(*records.front().mValue, valid);
+  }
+  if (!valid) {
+    co_return base::Error{ ErrorKind::OutcomeUnknown, "malformed usage of a peer", "" };
+  }
+  co_return std::move(answer);
+}
+
 LogStore::Async<std::optional<std::string>>
 RelayClient::Text(std::string aAttempt, Millis aTimeout)
 {
--- a/modules/gateway/src/relay_client.h
+++ b/modules/gateway/src/relay_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sycamore/accounts/usage_row.h"
 #include "sycamore/gateway/log_store.h"
 #include "sycamore/http/endpoint.h"
 #include "sycamore/wire/store_relay_generated.h"
@@ -53,6 +54,30 @@
   // Exchanges facts; see FactExchange. Errors as of a read.
   Async<FactsAnswer> Facts(FactsRequest aRequest, base::Millis aTimeout);
 
+  // The demand of accounts at a gateway, or at all gateways of a failure domain.
+  struct UsageRequest
+  {
+    std::string mSender; // The gateway or failure domain.
+    bool mOfDomain = false;
+    uint64_t mEpoch = 0; // Identifies the reporting process.
+    bool mFull = false;  // All of it, not only what has changed.
+    accounts::UsageRows mRows;
+  };
+
+  struct UsageAnswer
+  {
+    bool mComplete = false; // The peer has all of the demand.
+    // For a gateway, the requests elsewhere. For a failure domain, what the peer keeps of it; see
+    // UsageTotals::KeptOf.
+    accounts::UsageRows mRows;
+    base::Millis mKnowledgeAge{ 0 }; // See UsageTotals.
+  };
+
+  // Reports demand; see UsageExchange. Errors as of a read.
+  Async<UsageAnswer> Usage(UsageRequest aRequest, base::Millis aTimeout);
+
+  const http::Endpoint& Peer() const { return mPeer; }
+
   // Ends all calls in progress at once, as if their connections were lost.
   void Abort();
 
--- a/modules/gateway/src/relay_server.cpp
+++ b/modules/gateway/src/relay_server.cpp
@@ -42,6 +42,9 @@
   if (aRequest.operation == wire::RelayOperation::Facts) {
     co_return co_await aServices.mFacts(aRequest);
   }
+  if (aRequest.operation == wire::RelayOperation::Usage) {
+    co_return aServices.mUsage(aRequest);
+  }
   if (aRequest.shared && aServices.mStopping()) {
     const base::Result<Appended> refused =
       base::Error{ base::ErrorKind::LogUnavailable, "the aggregator is stopping", "" };
@@ -72,8 +75,9 @@
       co_return ToMessage(co_await store.Read(*stream, range, timeout));
     }
     case wire::RelayOperation::Newest:
-    case wire::RelayOperation::Text: // Answered above, as the next one.
+    case wire::RelayOperation::Text: // Answered above, as the next ones.
     case wire::RelayOperation::Facts:
+    case wire::RelayOperation::Usage:
       break;
   }
   co_return ToMessage(co_await store.Newest(*stream, timeout));
--- a/modules/gateway/src/relay_server.h
+++ b/modules/gateway/src/relay_server.h
@@ -24,6 +24,8 @@
   std::function<std::optional<std::string>(const std::string&)> mFindText;
   // Answers a request with operation Facts.
   std::function<boost::asio::awaitable<wire::RelayResponseT>(const wire::RelayRequestT&)> mFacts;
+  // Answers a request with operation Usage.
+  std::function<wire::RelayResponseT(const wire::RelayRequestT&)> mUsage;
 };
 
 // Serves one connection of another gateway, one call at a time, until the connection ends.
--- a/modules/gateway/src/replica_choice.cpp
+++ b/modules/gateway/src/replica_choice.cpp
@@ -17,6 +17,9 @@
 // Each running call slows the steps of its batch slightly; also spreads calls over replicas with
 // free slots.
 static constexpr base::Micros kRunningCallDelay{ 4000 };
+// What a call for an object takes longer at a replica that has not served it. Below the delay of a
+// queued call, so that an overloaded replica loses its objects to others.
+static constexpr base::Micros kColdObjectDelay{ 15000 };
 // Older load reports are ignored. A process sends a replica about one call per second.
 static constexpr base::Millis kLoadReportValidity{ 2000 };
 // A replica is avoided for this time after a failure, doubled with each further failure.
@@ -125,6 +128,9 @@
     const double heldUp = std::min<double>(aAssumedLoad, aReplica.mSlots);
     delay += Scaled(base::Micros(missing * 1000 / kPrefillTokensPerMs), 1 + heldUp);
   }
+  if (aReplica.mAwayFromHome) {
+    delay += kColdObjectDelay;
+  }
   if (IsAvoided(aReplica)) {
     delay += kAvoidancePenalty;
   }
--- a/modules/gateway/src/state_dump.cpp
+++ b/modules/gateway/src/state_dump.cpp
@@ -20,6 +20,8 @@
   gauges.mReplicas = aContext.mReplicas.Size();
   gauges.mLimitedReplicas = aContext.mLimits.LimitedCount();
   gauges.mBarredRequests = aContext.mSuspects.BarredCount();
+  gauges.mAccounts = aContext.mRoutes ? aContext.mRoutes->mAccounts.mAccounts.size() : 0;
+  gauges.mCountedAccounts = aContext.mUsage.Size();
   gauges.mFacts = aContext.mFacts.Size();
   gauges.mPrograms = aContext.mPrograms.Programs().ProgramCount();
   gauges.mTurns = aContext.mPrograms.Programs().TurnCount();
@@ -101,6 +103,7 @@
         { "down_for_all", aContext.mStore.DownForAll() },
         { "since_success_ms", aContext.mStore.SinceSuccess().count() },
         { "aggregators", AggregatorsJson(aContext) } } },
+    { "accounts", { { "configured", gauges.mAccounts }, { "counted", gauges.mCountedAccounts } } },
     { "facts", gauges.mFacts },
     { "barred_requests", gauges.mBarredRequests },
     { "calls_open", gauges.mCallsOpen },
--- a/modules/gateway/src/turn_renewals.cpp
+++ b/modules/gateway/src/turn_renewals.cpp
@@ -90,6 +90,7 @@
   copy.mTextPartition = mTexts.Partition();
   copy.mWriter = mWriter;
   copy.mCopy = turn->mCopy + 1;
+  copy.mAccount = turn->mAccount;
   ProgramLog& log = mLogs.For(copy.mProgram);
   const auto appended = co_await log.Append(std::move(copy), aDeadline);
   if (!base::IsOk(appended)) {
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -153,12 +153,25 @@
                                  "turn {}, which {} continues, is not kept", unknown, previous),
                            "" };
   }
-  mPrefixReplica = mContext.mPrograms.Programs().FindTurn(previous)->mReplica;
+  const programs::Turn* turn = mContext.mPrograms.Programs().FindTurn(previous);
+  if (!MayContinue(*turn)) {
+    // As if it did not exist: a caller learns nothing of another account's turns.
+    co_return base::Error{ ErrorKind::UnknownTurn, "there is no such turn: " + previous, "" };
+  }
+  mPrefixReplica = turn->mReplica;
   mChain = std::move(*chain);
   mHistory = ReferencesTo(mChain);
   co_return std::nullopt;
 }
 
+bool
+TurnRunner::MayContinue(const programs::Turn& aTurn) const
+{
+  const bool unknown =
+    aTurn.mAccount == accounts::kUnknownAccount || mCall.mAccountId == accounts::kUnknownAccount;
+  return unknown || aTurn.mAccount == mCall.mAccountId;
+}
+
 boost::asio::awaitable<std::optional<base::Error>>
 TurnRunner::MakePrompt()
 {
@@ -430,7 +443,9 @@
                                 mContext.mTexts.Next(),
                                 static_cast<uint32_t>(text.Bytes()),
                                 mContext.mTexts.Partition(),
-                                mContext.mWriterHash };
+                                mContext.mWriterHash,
+                                0,
+                                mCall.mAccountId };
   ProgramLog& log = mContext.mPrograms.For(head.mProgram);
   // Both records are appended concurrently: in a remote region each takes 70 ms.
   std::optional<uint64_t> textOffset;
--- a/modules/gateway/src/turn_runner.h
+++ b/modules/gateway/src/turn_runner.h
@@ -62,6 +62,8 @@
   std::optional<base::Error> CheckLog() const;
   // Finds the turns that the prompt is made of.
   boost::asio::awaitable<std::optional<base::Error>> FindChain();
+  // Whether the account of the call ran aTurn. Records of gateways that knew no accounts tell none.
+  bool MayContinue(const programs::Turn& aTurn) const;
   boost::asio::awaitable<std::optional<base::Error>> MakePrompt();
   std::vector<TextReference> ReferencesTo(const std::vector<std::string>& aChain) const;
   boost::asio::awaitable<std::optional<base::Error>> CheckBudget();
--- a/modules/gateway/tests/fake_header_codec.h
+++ b/modules/gateway/tests/fake_header_codec.h
@@ -11,6 +11,7 @@
 {
 public:
   CallHead DecodeCall(const Fields& /*aFields*/) const override { return {}; }
+  std::optional<std::string> TakeApiKey(Fields& /*aFields*/) const override { return {}; }
   void PrepareForReplica(Fields& /*aFields*/, const ReplicaCall& /*aCall*/) const override {}
   AnswerHead DecodeAnswer(const boost::beast::http::response_header<>& /*aHeader*/) const override
   {
--- a/modules/gateway/tests/gateway_node.h
+++ b/modules/gateway/tests/gateway_node.h
@@ -6,6 +6,7 @@
 #include "relay_server.h"
 #include "shared_facts.h"
 #include "store_paths.h"
+#include "usage_exchange.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -92,11 +93,19 @@
     , mAggregator(aLoop.get_executor(), mPaths.ForAggregator(), mLogs)
     , mFacts(aLoop.get_executor())
     , mExchange(aLoop.get_executor(), mFacts, mOwn, [this] { return mStopping; })
+    , mUsage({ base::Millis(5000), 20 }, aInstance)
+    , mUsageExchange(aLoop.get_executor(),
+                     mExchange,
+                     mUsage,
+                     { base::Millis(5000), 20 },
+                     mOwn,
+                     [this] { return &mAccounts; })
     , mServices{ mPaths.DirectForPeers(),
                  mAggregator,
                  [this] { return mStopping; },
                  [](const std::string&) { return std::optional<std::string>(); },
-                 [this](const wire::RelayRequestT& aRequest) { return ServeFacts(aRequest); } }
+                 [this](const wire::RelayRequestT& aRequest) { return ServeFacts(aRequest); },
+                 [this](const wire::RelayRequestT& aRequest) { return ServeUsage(aRequest); } }
   {
     mPaths.SetAggregator(mAggregator);
     for (uint32_t i = 0; i < aPartitions; ++i) {
@@ -143,6 +152,14 @@
     return mSilent ? NoAnswer() : mExchange.Serve(aRequest);
   }
 
+  // A frozen process answers nothing; a failure ends the report sooner.
+  wire::RelayResponseT ServeUsage(const wire::RelayRequestT& aRequest)
+  {
+    wire::RelayResponseT frozen;
+    frozen.failure = "frozen";
+    return mSilent ? frozen : mUsageExchange.Serve(aRequest);
+  }
+
   static boost::asio::awaitable<wire::RelayResponseT> NoAnswer()
   {
     co_await SleepFor(base::Seconds(3600));
@@ -158,6 +175,9 @@
   Aggregator mAggregator;
   SharedFacts mFacts;
   FactExchange mExchange;
+  accounts::AccountTable mAccounts;
+  accounts::AccountUsage mUsage;
+  UsageExchange mUsageExchange;
   const RelayServices mServices;
   bool mStopping = false;
   bool mSilent = false;
--- a/modules/gateway/tests/store_paths_test.cpp
+++ b/modules/gateway/tests/store_paths_test.cpp
@@ -28,6 +28,7 @@
                                    return aAttempt == "known" ? std::optional<std::string>("text")
                                                               : std::nullopt;
                                  },
+                                 {},
                                  {} };
   tcp::acceptor mAcceptor{ mLoop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0) };
   std::optional<base::Result<Appended>> mAppended;
--- a/modules/programs/include/sycamore/programs/program_record.h
+++ b/modules/programs/include/sycamore/programs/program_record.h
@@ -46,6 +46,7 @@
   // Number of the copy: 0 for the first record, more if record and texts were appended again before
   // the store dropped them. mTextSearchStart is the exact offset in copies.
   uint32_t mCopy = 0;
+  uint64_t mAccount = 0; // Id of the client account that ran the turn; 0 if not told.
 
   bool operator==(const TurnCompleted&) const = default;
 };
--- a/modules/programs/include/sycamore/programs/turn.h
+++ b/modules/programs/include/sycamore/programs/turn.h
@@ -30,6 +30,7 @@
   base::Millis mRetention{ 0 };
   base::Millis mWrittenAt{ 0 }; // Time of day since 1970 of the record that mText comes from.
   uint32_t mCopy = 0;           // See TurnCompleted.
+  uint64_t mAccount = 0;        // See TurnCompleted.
 };
 
 }
--- a/modules/programs/src/program_registry.cpp
+++ b/modules/programs/src/program_registry.cpp
@@ -70,6 +70,7 @@
   turn.mRetention = aEvent.mRetention;
   turn.mWrittenAt = aWrittenAt;
   turn.mCopy = aEvent.mCopy;
+  turn.mAccount = aEvent.mAccount;
   ExtendChain(aEvent.mPrevious, expires);
 }
 
--- a/modules/programs/src/record_codec.cpp
+++ b/modules/programs/src/record_codec.cpp
@@ -104,6 +104,7 @@
   table.text_partition = aEvent.mTextPartition;
   table.writer = aEvent.mWriter;
   table.copy = aEvent.mCopy;
+  table.account = aEvent.mAccount;
   return EventOf(std::move(table));
 }
 
@@ -177,7 +178,8 @@
                           turn->text_bytes,
                           turn->text_partition,
                           turn->writer,
-                          turn->copy };
+                          turn->copy,
+                          turn->account };
   }
   if (const auto* placed = aEvent.AsTextPlaced()) {
     return TextPlaced{ UnpackId(placed->attempt, placed->attempt_text), placed->offset };
--- a/modules/settings/include/sycamore/settings/settings.h
+++ b/modules/settings/include/sycamore/settings/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sycamore/accounts/quota_share.h"
 #include "sycamore/base/clock.h"
 #include "sycamore/http/endpoint.h"
 #include "sycamore/world/link.h"
@@ -28,6 +29,15 @@
   uint32_t mMaxRunning = 32; // Calls given to the target at the same time.
 };
 
+// How a gateway serves API keys while it cannot tell whether they have been taken away.
+struct RevocationSettings
+{
+  // Whether requests with a key are refused while the configuration is older than mMaxAge.
+  bool mStrict = false;
+  // Age after which the configuration may lack a change: an unknown key may be new then.
+  base::Millis mMaxAge{ 5000 };
+};
+
 // Settings of one sycamoreleverd process, as read from its JSON file. docs/settings.md names each
 // key.
 struct Settings
@@ -64,6 +74,8 @@
   base::Millis mDrainLimit{ 120000 };      // Longest graceful shutdown.
   size_t mHistoryCacheBytes = size_t{ 16 } << 20;
   size_t mMemoryBytes = size_t{ 128 } << 20; // Gateway: that the process may use.
+  accounts::QuotaRules mQuota;               // Gateway: of client accounts.
+  RevocationSettings mRevocation;            // Gateway.
   size_t mMaxPendingBytes = size_t{ 8 } << 20;
   size_t mMaxBodyBytes = size_t{ 4 } << 20;
   std::string mOrdering = "remaining"; // Sidecar: "remaining", "attained" or "fifo" (baseline).
--- a/modules/settings/src/parse.cpp
+++ b/modules/settings/src/parse.cpp
@@ -176,6 +176,17 @@
   }
 }
 
+static void
+ReadAccountRules(ObjectReader& aReader, Settings& aOut)
+{
+  double windowSeconds = std::chrono::duration<double>(aOut.mQuota.mWindow).count();
+  aReader.Real("quota_window_s", 0.1, 3600, windowSeconds);
+  aOut.mQuota.mWindow = Millis(static_cast<int64_t>(windowSeconds * 1000));
+  aReader.Real("quota_slack", 0, 1e6, aOut.mQuota.mSlack);
+  aReader.Boolean("revoke_strict", aOut.mRevocation.mStrict);
+  aReader.Duration("revoke_ms", Millis(100), kHour, aOut.mRevocation.mMaxAge);
+}
+
 static void
 CheckDurations(ObjectReader& aReader, const Settings& aSettings)
 {
@@ -225,6 +236,7 @@
   ReadDurations(reader, settings);
   CheckDurations(reader, settings);
   ReadLimits(reader, settings);
+  ReadAccountRules(reader, settings);
   reader.RefuseUnknown();
   return settings;
 }
