Refuse programs that begin sooner than those that run under a quota

Change: a request with which a program begins, as far as records tell, counts against 0.85 of the limit.

--- a/modules/accounts/include/sycamore/accounts/account_usage.h
+++ b/modules/accounts/include/sycamore/accounts/account_usage.h
@@ -35,8 +35,10 @@
   // Sets the number of gateways of the deployment.
   void SetGateways(size_t aCount) { mGateways = aCount; }
 
-  // Counts a request of aAccount at aNow and, if it may go on, that it does.
-  QuotaVerdict Admit(const Account& aAccount, base::TimePoint aNow);
+  // Counts a request of aAccount at aNow and, if it may go on, that it does. aBegins tells that a
+  // program begins with it: its further requests need the quota too, so that it is refused sooner
+  // than those of programs that have begun.
+  QuotaVerdict Admit(const Account& aAccount, base::TimePoint aNow, bool aBegins = false);
 
   // Takes back a request that was let through at aAdmittedAt and reached no replica.
   void Return(uint64_t aAccount, base::TimePoint aAdmittedAt, base::TimePoint aNow);
--- a/modules/accounts/src/account_usage.cpp
+++ b/modules/accounts/src/account_usage.cpp
@@ -12,6 +12,10 @@
 using base::Millis;
 using base::TimePoint;
 
+// Part of a quota that programs may begin in. The rest is for the requests of programs that have
+// begun: one that is refused in its middle has used up quota in vain.
+static constexpr double kPartForBeginnings = 0.85;
+
 AccountUsage::AccountUsage(const QuotaRules& aRules, std::string_view aInstance)
   : mRules(aRules)
   , mInstance(base::StableHash(aInstance))
@@ -54,15 +58,18 @@
 }
 
 QuotaVerdict
-AccountUsage::Admit(const Account& aAccount, TimePoint aNow)
+AccountUsage::Admit(const Account& aAccount, TimePoint aNow, bool aBegins)
 {
   QuotaVerdict verdict;
   if (aAccount.mLimit.mPerSecond <= 0) {
     return verdict;
   }
   State& state = mStates[aAccount.mId];
-  const QuotaRoom room = RoomFor(aAccount.mLimit, mRules);
+  QuotaRoom room = RoomFor(aAccount.mLimit, mRules);
   state.mLimit = room.mGranted;
+  if (aBegins) {
+    room.mGranted *= kPartForBeginnings;
+  }
   state.mDemand.Add(1, aNow, mRules.mWindow);
   verdict.mLimit = state.mLimit;
   verdict.mOthers = state.mOthers.mDemand;
--- a/modules/gateway/src/account_access.cpp
+++ b/modules/gateway/src/account_access.cpp
@@ -87,6 +87,15 @@
   return table.InForce() && (account == nullptr || account->mId != aCall.mAccountId);
 }
 
+// Whether no record tells of the program yet. A call of a tool always belongs to one that runs.
+static bool
+BeginsProgram(const Context& aContext, const Call& aCall)
+{
+  const CallHead& head = aCall.mHead;
+  return aCall.mRoute->mKind == CallKind::Stream && !head.mProgram.empty() && !head.mPreviousTurn &&
+         !aContext.mPrograms.Programs().Knows(head.mProgram);
+}
+
 QuotaGuard::QuotaGuard(Context& aContext, const Call& aCall)
   : mContext(aContext)
   , mCall(aCall)
@@ -95,7 +104,7 @@
   if (mCall.mAccount == nullptr) {
     return;
   }
-  mVerdict = mContext.mUsage.Admit(*mCall.mAccount, mAdmittedAt);
+  mVerdict = mContext.mUsage.Admit(*mCall.mAccount, mAdmittedAt, BeginsProgram(mContext, mCall));
   if (!mVerdict.mAllowed) {
     NoteRefusal(mContext, mCall, mCall.mAccount->mName, "over_quota", mVerdict);
   }
--- a/modules/programs/include/sycamore/programs/program_registry.h
+++ b/modules/programs/include/sycamore/programs/program_registry.h
@@ -37,6 +37,9 @@
   // Whether a reservation of aMaxTokens would be granted according to the applied records.
   bool FitsBudget(const std::string& aProgram, uint64_t aBudgetTokens, uint64_t aMaxTokens) const;
 
+  // Whether a record of aProgram has been applied and the program has not expired since.
+  bool Knows(const std::string& aProgram) const { return mPrograms.contains(aProgram); }
+
   // Tokens that the ended attempts of aProgram sent. Only grows while the program is known.
   uint64_t SpentTokens(const std::string& aProgram) const;
 
