Grant of a window only the part that the hub has followed

An account had sent 31 requests before, and half of its limit was granted at once afterwards, since nobody knew of them.

Change: what is granted grows with the part of the window that the hub has followed, from nothing; gateways that have not heard of others yet share half of the limit by their number.

QuotaOfAnAccountAtOneGatewayIsTheWholeLimit starts its gateways before its callers, as the other cases do: at a start nothing is granted by design.

--- a/modules/accounts/src/quota_share.cpp
+++ b/modules/accounts/src/quota_share.cpp
@@ -13,9 +13,9 @@
 static constexpr Millis kHearingInterval{ 250 };
 // The demand of others is assumed to grow on for this time at most after it was heard.
 static constexpr Millis kMaxExtrapolation{ 1000 };
-// Part of the limit that gateways which are cut off from the others use together, and of the limit
-// of a window of which nothing is known.
-static constexpr double kUncertainPart = 0.5;
+// Part of the limit that gateways use together which are cut off from the others, or have not heard
+// of them yet.
+static constexpr double kCutOffPart = 0.5;
 
 QuotaRoom
 RoomFor(const RequestLimit& aLimit, const QuotaRules& aRules)
@@ -29,19 +29,19 @@
 OwnShare(const QuotaRoom& aRoom, const AccountDemand& aDemand)
 {
   const double own = aDemand.mOwn.mDemand;
-  const double certain = std::clamp(aDemand.mKnownPart, 0.0, 1.0);
-  const double granted = aRoom.mGranted * (kUncertainPart + (1 - kUncertainPart) * certain);
   if (!aDemand.mHeard) {
     // Each of the others is taken to have as much.
     const auto gateways = static_cast<double>(std::max<size_t>(aDemand.mGateways, 1));
-    return own * gateways <= granted ? own : granted / gateways;
+    return std::min(own, aRoom.mGranted * kCutOffPart / gateways);
   }
+  // Gateways that ended before the hub followed them may have used up the rest of the window.
+  const double granted = aRoom.mGranted * std::clamp(aDemand.mKnownPart, 0.0, 1.0);
   const auto ahead = std::min(aDemand.mAge + kReportDelay, kMaxExtrapolation);
   const double expected = aDemand.mOthersPerSecond * std::chrono::duration<double>(ahead).count();
   const double others = aDemand.mOthers.mDemand + std::max(expected - aRoom.mReserve, 0.0);
   const double total = own + others;
   if (aDemand.mAge > kReportLifetime) {
-    const double alone = aRoom.mGranted * kUncertainPart;
+    const double alone = aRoom.mGranted * kCutOffPart;
     return total <= alone ? own : alone * own / total;
   }
   if (total <= granted) {
--- a/modules/accounts/tests/quota_model_test.cpp
+++ b/modules/accounts/tests/quota_model_test.cpp
@@ -75,6 +75,7 @@
 BOOST_FIXTURE_TEST_CASE(QuotaOfAnAccountAtOneGatewayIsTheWholeLimit, QuotaModelFixture)
 {
   QuotaModel model(6, 4, 12);
+  model.Run(Seconds(6)); // The gateways start before their callers.
   model.Concentrate(mMiddle, 17);
   model.SetDemand(mMiddle, 12);
   model.Run(Seconds(10));
@@ -105,6 +106,30 @@
   }
 }
 
+// Guards against a quota that is granted again when all gateways end at once, as with a loss of
+// power: what ran before is known to none. The account sends in bursts that are within its limit.
+BOOST_FIXTURE_TEST_CASE(QuotaIsKeptWhenAllGatewaysRestartAtOnce, QuotaModelFixture)
+{
+  const Account bursty = Limited("bursty", 7, 7);
+  for (uint64_t seed = 41; seed < 53; ++seed) {
+    QuotaModel model(6, 4, seed);
+    model.SetDemand(bursty, 0);
+    model.Run(Seconds(8));
+    model.SetDemand(bursty, 24);
+    model.Run(Millis(1300));
+    model.SetDemand(bursty, 0);
+    model.Run(Millis(1000)); // The gateways are down.
+    for (size_t i = 0; i < model.GatewayCount(); ++i) {
+      model.Restart(i);
+    }
+    model.Run(Millis(300));
+    model.SetDemand(bursty, 30);
+    model.Run(Seconds(6));
+    BOOST_TEST(static_cast<double>(model.MostInAWindow(bursty)) <= Accepted(bursty),
+               "seed " << seed << ": " << model.MostInAWindow(bursty));
+  }
+}
+
 // Guards against gateways that are cut off and each go on as if they were alone, and against the
 // others taking over what those still use.
 BOOST_FIXTURE_TEST_CASE(QuotaIsKeptWhileGatewaysAreCutOff, QuotaModelFixture)
