Judge how much of a quota's window is known by how long its gateways have counted

Change: a report tells how long its process has counted requests, and the known part of the window is the mean of that over the gateways of the failure domain. A restart of the hub or of single gateways hardly lowers it; a restart of all gateways still begins at nothing.

--- a/modules/accounts/include/sycamore/accounts/quota_share.h
+++ b/modules/accounts/include/sycamore/accounts/quota_share.h
@@ -40,8 +40,7 @@
   bool mHeard = false;         // Whether it ever heard of others.
   base::Millis mAge{ 0 };      // Since it last did.
   base::Millis mWindow{ 5000 };
-  // Part of the last window that its hub has followed: what gateways that ended before let through
-  // is not known.
+  // Part of the last window that the gateways have counted, see UsageTotals::KnowledgeAge.
   double mKnownPart = 0;
   size_t mGateways = 1; // Of the deployment.
 };
--- a/modules/accounts/include/sycamore/accounts/usage_totals.h
+++ b/modules/accounts/include/sycamore/accounts/usage_totals.h
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -35,11 +34,13 @@
   // Records a report about aSender, made by the process that aEpoch identifies. With aFull it
   // replaces all that was reported before, else it tells what has changed. Returns false and
   // records nothing if the changes refer to reports that are not known here: the sender has to
-  // report in full. What an earlier process knew still counts for a while.
+  // report in full. aCountsFor is how long the sender has counted requests. What an earlier process
+  // knew still counts for a while.
   bool Apply(Scope aScope,
              const std::string& aSender,
              uint64_t aEpoch,
              bool aFull,
+             base::Millis aCountsFor,
              const UsageRows& aRows,
              base::TimePoint aNow);
 
@@ -69,8 +70,9 @@
   // Records that the hub of aDomain has aRows; with aAll, and nothing else.
   void MarkTold(const std::string& aDomain, const UsageRows& aRows, bool aAll);
 
-  // How long this gateway has had reports of the gateways of its failure domain without a break.
-  // What gateways that ended before let through is not known here.
+  // The part of the last window that is known, as time: the mean of how long the gateways of the
+  // failure domain have counted, each a window at most. What processes let through that have ended
+  // is not known. Zero without a gateway.
   base::Millis KnowledgeAge(base::TimePoint aNow) const;
 
   // Drops the reports of senders that were not heard for kReportLifetime.
@@ -86,6 +88,8 @@
     uint64_t mEpoch = 0;                        // Of the process that made its reports.
     std::unordered_map<uint64_t, Usage> mUsage; // By account; none is zero.
     base::TimePoint mHeardAt;
+    base::TimePoint mCountsSince;
+    bool mEnded = false;         // The process has ended.
     base::Millis mLifetime{ 0 }; // After mHeardAt.
   };
 
@@ -104,7 +108,6 @@
   void KeepEnded(const std::string& aKey, const Sender& aSender, const UsageRows& aNext);
 
   const base::Millis mWindow;
-  std::optional<base::TimePoint> mKnowsSince;                       // See KnowledgeAge.
   std::map<std::string, Sender> mSenders;                           // By scope and name.
   std::unordered_map<uint64_t, Sums> mSums;                         // By account.
   std::map<std::string, std::unordered_map<uint64_t, Usage>> mTold; // By domain, then account.
--- a/modules/accounts/src/quota_share.cpp
+++ b/modules/accounts/src/quota_share.cpp
@@ -34,7 +34,7 @@
     const auto gateways = static_cast<double>(std::max<size_t>(aDemand.mGateways, 1));
     return std::min(own, aRoom.mGranted * kCutOffPart / gateways);
   }
-  // Gateways that ended before the hub followed them may have used up the rest of the window.
+  // Processes that have ended may have used up what is not known of the window.
   const double granted = aRoom.mGranted * std::clamp(aDemand.mKnownPart, 0.0, 1.0);
   const auto ahead = std::min(aDemand.mAge + kReportDelay, kMaxExtrapolation);
   const double expected = aDemand.mOthersPerSecond * std::chrono::duration<double>(ahead).count();
--- a/modules/accounts/src/usage_totals.cpp
+++ b/modules/accounts/src/usage_totals.cpp
@@ -61,6 +61,7 @@
   Sender& ended = mSenders[EndedPrefix(aKey) + fmt::format("{:x}", aSender.mEpoch)];
   ended.mScope = aSender.mScope;
   ended.mEpoch = aSender.mEpoch;
+  ended.mEnded = true;
   ended.mHeardAt = aSender.mHeardAt;
   ended.mLifetime = aSender.mScope == Scope::Gateway ? mWindow : kReportLifetime;
   std::unordered_map<uint64_t, uint32_t> admitted;
@@ -119,6 +120,7 @@
                    const std::string& aSender,
                    uint64_t aEpoch,
                    bool aFull,
+                   base::Millis aCountsFor,
                    const UsageRows& aRows,
                    TimePoint aNow)
 {
@@ -131,13 +133,11 @@
   if (sender.mEpoch != 0 && sender.mEpoch != aEpoch) {
     KeepEnded(key, sender, aRows);
   }
-  if (aScope == Scope::Gateway && !mKnowsSince) {
-    mKnowsSince = aNow;
-  }
   sender.mScope = aScope;
   sender.mEpoch = aEpoch;
   sender.mHeardAt = aNow;
   sender.mLifetime = kReportLifetime;
+  sender.mCountsSince = aNow - aCountsFor;
   if (aFull) {
     Drop(sender);
   }
@@ -236,8 +236,16 @@
 base::Millis
 UsageTotals::KnowledgeAge(TimePoint aNow) const
 {
-  return mKnowsSince ? std::chrono::duration_cast<base::Millis>(aNow - *mKnowsSince)
-                     : base::Millis(0);
+  base::Millis sum{ 0 };
+  int gateways = 0;
+  for (const auto& [key, sender] : mSenders) {
+    if (sender.mScope == Scope::Gateway && !sender.mEnded) {
+      const auto counted = std::chrono::duration_cast<base::Millis>(aNow - sender.mCountsSince);
+      sum += std::min(counted, mWindow);
+      ++gateways;
+    }
+  }
+  return gateways == 0 ? base::Millis(0) : sum / gateways;
 }
 
 void
@@ -251,12 +259,6 @@
       ++entry;
     }
   }
-  const bool knows = std::any_of(mSenders.begin(), mSenders.end(), [](const auto& aEntry) {
-    return aEntry.second.mScope == Scope::Gateway;
-  });
-  if (!knows) {
-    mKnowsSince.reset();
-  }
 }
 
 }
--- a/modules/accounts/tests/quota_model.cpp
+++ b/modules/accounts/tests/quota_model.cpp
@@ -29,6 +29,7 @@
 QuotaModel::Start(Gateway& aGateway)
 {
   aGateway.mEpoch = ++mLastEpoch;
+  aGateway.mStartedAt = mNow;
   aGateway.mUsage = std::make_unique<AccountUsage>(mRules, aGateway.mName);
   aGateway.mUsage->SetGateways(mGateways.size());
   aGateway.mTotals = std::make_unique<UsageTotals>(mRules.mWindow);
@@ -49,6 +50,12 @@
   mDemand[aAccount.mId] = { aAccount, aPerSecond };
 }
 
+Millis
+QuotaModel::CountsFor(const Gateway& aGateway) const
+{
+  return std::chrono::duration_cast<Millis>(mNow - aGateway.mStartedAt);
+}
+
 bool
 QuotaModel::Reaches(size_t aFrom, size_t aTo) const
 {
@@ -109,6 +116,7 @@
                            gateway.mName,
                            gateway.mEpoch,
                            true,
+                           CountsFor(gateway),
                            gateway.mUsage->Report(true, mNow),
                            mNow);
     gateway.mTotals->Expire(mNow);
@@ -130,10 +138,12 @@
   const UsageRows rows = gateway.mUsage->Report(full, mNow);
   gateway.mUsage->MarkReported(rows);
   const uint64_t epoch = gateway.mEpoch;
-  Send(aGateway, hub, [this, aGateway, hub, epoch, full, rows, isHot] {
+  const Millis counted = CountsFor(gateway);
+  Send(aGateway, hub, [this, aGateway, hub, epoch, full, counted, rows, isHot] {
     UsageTotals& totals = *mGateways[hub].mTotals;
     const std::string& name = mGateways[aGateway].mName;
-    const bool complete = totals.Apply(UsageTotals::Scope::Gateway, name, epoch, full, rows, mNow);
+    const bool complete =
+      totals.Apply(UsageTotals::Scope::Gateway, name, epoch, full, counted, rows, mNow);
     if (!complete) {
       mGateways[aGateway].mReportedTo.clear();
       return;
@@ -165,8 +175,8 @@
   const std::string own = fmt::format("domain-{}", gateway.mDomain);
   const uint64_t epoch = gateway.mEpoch;
   Send(aGateway, hub, [this, aGateway, aDomain, hub, own, epoch, full, rows] {
-    const bool complete =
-      mGateways[hub].mTotals->Apply(UsageTotals::Scope::Domain, own, epoch, full, rows, mNow);
+    const bool complete = mGateways[hub].mTotals->Apply(
+      UsageTotals::Scope::Domain, own, epoch, full, mRules.mWindow, rows, mNow);
     if (!complete) {
       mGateways[aGateway].mTold.erase(aDomain);
       return;
--- a/modules/accounts/tests/quota_model.h
+++ b/modules/accounts/tests/quota_model.h
@@ -65,6 +65,7 @@
     std::string mName;
     double mWeight = 1;
     uint64_t mEpoch = 0;
+    base::TimePoint mStartedAt;
     bool mCut = false;
     bool mFrozen = false;
     std::unique_ptr<AccountUsage> mUsage;
@@ -87,6 +88,7 @@
   };
 
   void Start(Gateway& aGateway);
+  base::Millis CountsFor(const Gateway& aGateway) const;
   void Send(size_t aFrom, size_t aTo, std::function<void()> aDeliver);
   // The first gateway of a domain that is reached from aFrom.
   size_t HubOf(size_t aDomain, size_t aFrom) const;
--- a/modules/gateway/src/relay_client.cpp
+++ b/modules/gateway/src/relay_client.cpp
@@ -202,6 +202,8 @@
   request.shared = aRequest.mOfDomain;
   request.epoch = aRequest.mEpoch;
   request.fresh = aRequest.mFull;
+  const auto counted = std::min<int64_t>(aRequest.mCountsFor.count(), UINT32_MAX);
+  request.wait_ms = static_cast<uint32_t>(counted);
   AddRecord(accounts::EncodeUsage(aRequest.mRows), request);
   const auto response = co_await Call(std::move(request), aTimeout);
   const auto page = AnswerOf(response, PageOf);
--- a/modules/gateway/src/relay_client.h
+++ b/modules/gateway/src/relay_client.h
@@ -59,8 +59,9 @@
   {
     std::string mSender; // The gateway or failure domain.
     bool mOfDomain = false;
-    uint64_t mEpoch = 0; // Identifies the reporting process.
-    bool mFull = false;  // All of it, not only what has changed.
+    uint64_t mEpoch = 0;          // Identifies the reporting process.
+    bool mFull = false;           // All of it, not only what has changed.
+    base::Millis mCountsFor{ 0 }; // How long that process has counted requests.
     accounts::UsageRows mRows;
   };
 
--- a/modules/gateway/src/usage_exchange.cpp
+++ b/modules/gateway/src/usage_exchange.cpp
@@ -100,6 +100,12 @@
     [this](uint64_t aAccount, uint32_t aTotal) { return IsHot(aAccount, aTotal); });
 }
 
+Millis
+UsageExchange::CountsFor(base::TimePoint aNow) const
+{
+  return std::chrono::duration_cast<Millis>(aNow - mCountsSince);
+}
+
 Millis
 UsageExchange::Tick(base::TimePoint aNow)
 {
@@ -136,8 +142,13 @@
 UsageExchange::UpdateOwnHub()
 {
   const base::TimePoint now = base::Clock::now();
-  mTotals.Apply(
-    UsageTotals::Scope::Gateway, mOwn.mInstance, mEpoch, true, mUsage.Report(true, now), now);
+  mTotals.Apply(UsageTotals::Scope::Gateway,
+                mOwn.mInstance,
+                mEpoch,
+                true,
+                CountsFor(now),
+                mUsage.Report(true, now),
+                now);
   if (!mHubs.Hub().empty()) {
     return; // The hub tells what is elsewhere.
   }
@@ -164,7 +175,7 @@
     co_return false;
   }
   const std::shared_ptr<RelayClient> client = entry->second;
-  RelayClient::UsageRequest request{ mOwn.mInstance, false, mEpoch, full, rows };
+  RelayClient::UsageRequest request{ mOwn.mInstance, false, mEpoch, full, CountsFor(now), rows };
   const auto answer = co_await client->Usage(std::move(request), kAnswerTimeout);
   if (!base::IsOk(answer) || !base::ValueOf(answer).mComplete) {
     co_return false;
@@ -208,7 +219,9 @@
     const bool due = base::Clock::now() - last >= kMaxDomainSilence;
     if (full || !rows.empty() || due) {
       const std::shared_ptr<RelayClient> client = entry->second;
-      RelayClient::UsageRequest request{ mOwn.mDomain, true, mEpoch, full, rows };
+      RelayClient::UsageRequest request{
+        mOwn.mDomain, true, mEpoch, full, CountsFor(base::Clock::now()), rows
+      };
       const auto answer = co_await client->Usage(std::move(request), kAnswerTimeout);
       const bool complete = base::IsOk(answer) && base::ValueOf(answer).mComplete;
       told = complete ? hub : "";
@@ -241,7 +254,8 @@
   const base::TimePoint now = base::Clock::now();
   const auto scope = aRequest.shared ? UsageTotals::Scope::Domain : UsageTotals::Scope::Gateway;
   mLastServed = now;
-  response.joined = mTotals.Apply(scope, aRequest.key, aRequest.epoch, aRequest.fresh, rows, now);
+  response.joined = mTotals.Apply(
+    scope, aRequest.key, aRequest.epoch, aRequest.fresh, Millis(aRequest.wait_ms), rows, now);
   UsageRows elsewhere;
   if (scope == UsageTotals::Scope::Domain) {
     elsewhere = mTotals.KeptOf(aRequest.key);
--- a/modules/gateway/src/usage_exchange.h
+++ b/modules/gateway/src/usage_exchange.h
@@ -60,6 +60,8 @@
   boost::asio::awaitable<void> TellOtherDomains();
   boost::asio::awaitable<void> TellDomain(std::string aDomain);
   base::Millis Tick(base::TimePoint aNow);
+  // How long this process has counted requests.
+  base::Millis CountsFor(base::TimePoint aNow) const;
 
   boost::asio::any_io_executor mExecutor;
   FactExchange& mHubs;
@@ -68,6 +70,7 @@
   const Member mOwn;
   const Accounts mAccounts;
   const uint64_t mEpoch; // Identifies this process in its reports.
+  const base::TimePoint mCountsSince = base::Clock::now();
   accounts::UsageTotals mTotals;
   std::vector<Member> mMembers; // The others.
   // By instance. Shared with calls in progress, which outlive a change of the members.
