--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -613,6 +613,7 @@
     std::string mDomain;
     std::string mRegion;
     std::string mRegions; // JSON: domain to region.
+    int mMemoryMb = 280;
   };
 
   Gateway(Place aPlace, std::string aStore, std::string aMore = "")
@@ -656,8 +657,8 @@
                         << "\",\"metrics\":\"127.0.0.1:" << mMetrics
                         << "\",\"peer\":\"127.0.0.1:" << mPeer << "\",\"store\":\"" << mStore
                         << "\",\"store_retention_s\":300,\"store_partitions\":12,"
-                           "\"memory_mb\":280,\"link_mbits\":1000.0,"
-                        << mMore << "\"stop_grace_s\":8}\n";
+                           "\"memory_mb\":"
+                        << mPlace.mMemoryMb << ",\"link_mbits\":1000.0," << mMore << "\"stop_grace_s\":8}\n";
     const std::string program = std::string(root) + "/target/modules/daemon/sycamoreleverd";
     const std::string settings = "--settings=" + path;
     const std::string log = std::string(temporary) + "/" + mPlace.mInstance + ".log";
@@ -703,6 +704,18 @@
     Kill();
   }
 
+  // Memory of the process, in MB.
+  double ResidentMb() const
+  {
+    std::ifstream status("/proc/" + std::to_string(mChild) + "/status");
+    for (std::string line; std::getline(status, line);) {
+      if (line.rfind("VmRSS:", 0) == 0) {
+        return std::atof(line.c_str() + 6) / 1024;
+      }
+    }
+    return 0;
+  }
+
   // Whether the process has ended by itself.
   bool Ended()
   {
@@ -743,10 +756,13 @@
   pid_t mChild = 0;
 };
 
+// aSource is the loopback address that the other end sees as the caller's.
 inline std::unique_ptr<Connection>
-Connect(int aPort)
+Connect(int aPort, const char* aSource = "127.0.0.1")
 {
   const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in source = AddressOf(aSource, 0);
+  ::bind(socket, reinterpret_cast<const sockaddr*>(&source), sizeof source);
   sockaddr_in address = AddressOf("127.0.0.1", aPort);
   if (::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
     ::close(socket);
@@ -765,11 +781,11 @@
 
 // Sends a request on a new connection and reads its answer.
 inline Answer
-Ask(int aPort, const std::string& aRequest, double aSeconds)
+Ask(int aPort, const std::string& aRequest, double aSeconds, const char* aSource = "127.0.0.1")
 {
   Answer answer;
   const double deadline = Now() + aSeconds;
-  const auto connection = Connect(aPort);
+  const auto connection = Connect(aPort, aSource);
   if (!connection || !connection->Write(aRequest)) {
     return answer;
   }
