Allocate coroutine frames with the global operators

Cause: Asio's awaitable_frame_base has an operator new and an operator delete of its own, which call thread_info_base::allocate and deallocate. GCC 12 inlines each of them by its own estimate. Where it inlines one and not the other, it compares the inlined function (aligned_alloc or free) with the operator that remains, and reports a mismatch that does not exist. The estimate depends on the architecture, the options and the coroutine: fails in two files on x86-64 and in three for arm64 (those two and relay_server.cpp; the cross compiler and Debian's native arm64 compiler 12.2.0-14+deb12u1, run under emulation, agree).

Change: BOOST_ASIO_DISABLE_AWAITABLE_FRAME_RECYCLING in place of that definition. The class then has neither operator, so that there is no pair to compare, whatever is inlined. The warning stays enabled in all builds; the build with the thread sanitizer does not switch it off any more.

Ruled out: pragmas at the functions (which ones fail changes with the code), a newer compiler (deployments build with that of Debian 12), an own allocator for the frames (another pair to compare).

--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -2,17 +2,14 @@
 add_library(sycamore_options INTERFACE)
 target_compile_options(sycamore_options INTERFACE -Wall -Wextra -Wpedantic -Werror)
 target_compile_definitions(sycamore_options INTERFACE BOOST_TEST_DYN_LINK BOOST_ASIO_NO_DEPRECATED)
-# Asio 1.81 allocates coroutine frames with its own operator new, which calls std::aligned_alloc, and
-# frees them with the operator delete of the same class. GCC 12 inlines only the former into some
-# coroutines and then reports -Wmismatched-new-delete, wrongly. With this definition Asio calls
-# posix_memalign in place of aligned_alloc, and the warning stays enabled.
-target_compile_definitions(sycamore_options INTERFACE BOOST_ASIO_DISABLE_STD_ALIGNED_ALLOC)
+# Asio allocates coroutine frames with an operator new and an operator delete of its own class. GCC 12
+# reports -Wmismatched-new-delete, wrongly, where it inlines one of the two and not the other, and
+# which of them it inlines depends on the architecture, the options and the size of the coroutine.
+# With this definition Asio leaves frames to the global operators, so that the warning stays enabled.
+target_compile_definitions(sycamore_options INTERFACE BOOST_ASIO_DISABLE_AWAITABLE_FRAME_RECYCLING)
 target_link_libraries(sycamore_options INTERFACE Threads::Threads fmt::fmt)
 if(SYCAMORE_TSAN)
-  # Instrumented code is inlined differently: here GCC compares the free of Asio's operator delete
-  # with the class's operator new. The ordinary build checks the same sources.
-  target_compile_options(sycamore_options INTERFACE -fsanitize=thread -Wno-tsan
-                         -Wno-mismatched-new-delete)
+  target_compile_options(sycamore_options INTERFACE -fsanitize=thread -Wno-tsan)
   target_link_options(sycamore_options INTERFACE -fsanitize=thread)
 endif()
 
