--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -1,8 +1,8 @@
 # Compiler and linker flags shared by all targets.
 add_library(sycamore_options INTERFACE)
 target_compile_options(sycamore_options INTERFACE -Wall -Wextra -Wpedantic -Werror)
-# Without this option GCC fuses multiplications with additions on arm64, which has instructions for it,
-# and not on x86-64, so that the same sources compute different results.
+# Without this option GCC fuses multiplications with additions on arm64 and not on x86-64, and the same
+# sources compute different results.
 target_compile_options(sycamore_options INTERFACE -ffp-contract=off)
 target_compile_definitions(sycamore_options INTERFACE BOOST_TEST_DYN_LINK BOOST_ASIO_NO_DEPRECATED)
 # Asio allocates coroutine frames with an operator new and an operator delete of its own class. GCC 12
--- a/modules/gateway/tests/coroutine_frame_test.cpp
+++ b/modules/gateway/tests/coroutine_frame_test.cpp
@@ -24,8 +24,8 @@
   static void operator delete(void* aMemory) { ::operator delete(aMemory); }
 };
 
-// The promise of a coroutine that yields aValue; a coroutine frame is allocated by the operators of
-// its promise, if that has any.
+// The promise of a coroutine that returns a Value. Its operators allocate and free the frame of the
+// coroutine, if it has any.
 template<typename Value>
 using PromiseOf = typename std::coroutine_traits<boost::asio::awaitable<Value>>::promise_type;
 
