--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -25,15 +25,15 @@
   target_link_libraries(sycamore_${name} PUBLIC sycamore_options ${ARG_DEPS})
 endfunction()
 
-# sycamore_tests(NAME [DEPS ...] [LABELS ...] [SOURCES ...] [TIMEOUT seconds]): one Boost.Test binary
+# sycamore_tests(NAME [DEPS ...] [LABELS ...] [SOURCES ...] [TIMEOUT seconds] [SERIAL]): one Boost.Test binary
 # from SOURCES (default tests/*.cpp), registered with CTest under NAME. The label "concurrency" marks
 # tests that also run under the thread sanitizer, "failure" those that start processes. The timeout
-# defaults to 120 s.
+# defaults to 120 s. CTest runs no other test beside one with SERIAL.
 function(sycamore_tests name)
   if(NOT SYCAMORE_TESTS)
     return()
   endif()
-  cmake_parse_arguments(ARG "" "TIMEOUT" "DEPS;LABELS;SOURCES" ${ARGN})
+  cmake_parse_arguments(ARG "SERIAL" "TIMEOUT" "DEPS;LABELS;SOURCES" ${ARGN})
   if(ARG_SOURCES)
     set(sources ${ARG_SOURCES})
   else()
@@ -48,4 +48,7 @@
   # A fixed seed makes the results of property tests reproducible.
   set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}"
     ENVIRONMENT "RC_PARAMS=seed=20261204 noshrink=1")
+  if(ARG_SERIAL)
+    set_tests_properties(${name} PROPERTIES RUN_SERIAL TRUE)
+  endif()
 endfunction()
