Bound the bytes that wait for the parser of a caller's request

Callers could end a process: trailers without end behind a chunked body made it hold all of them, 422 MB of eight connections as measured from outside.

Cause: the parser takes a chunk header or the trailer section only as a whole. It limits neither, and the buffers of CallerSession and of ServerSession in modules/http had no limit, as those of replicas and the store have.

Change: the buffer of a connection takes as many bytes as a head may have (max_header_bytes; 16 KB in modules/http). A longer chunk header or trailer section is answered 431, like a longer head; the request has not run.

--- a/modules/gateway/src/caller_session.cpp
+++ b/modules/gateway/src/caller_session.cpp
@@ -4,6 +4,7 @@
 #include "sycamore/base/log.h"
 #include "sycamore/http/error_body.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -113,6 +114,9 @@
   if (!co_await WaitForBytes(limits.mIdleTimeout)) {
     co_return ReadResult::Closed;
   }
+  // The parser needs a whole head, chunk header or trailer section before it goes on, and limits
+  // none but the head itself.
+  mBuffer.max_size(std::max({ limits.mMaxHeaderBytes, kReadSize, mBuffer.size() }));
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<uint32_t>(limits.mMaxHeaderBytes));
   parser.body_limit(limits.mMaxBodyBytes);
@@ -154,6 +158,11 @@
   if (aError == http::error::header_limit) {
     return { base::ErrorKind::HeaderTooLarge, "the header is longer than allowed", "" };
   }
+  if (aError == http::error::buffer_overflow) {
+    return { base::ErrorKind::HeaderTooLarge,
+             "a chunk header or the trailers are longer than allowed",
+             "" };
+  }
   if (aError == http::error::body_limit) {
     return { base::ErrorKind::BodyTooLarge, "the body is longer than allowed", "" };
   }
--- a/modules/http/src/server_session.h
+++ b/modules/http/src/server_session.h
@@ -44,6 +44,10 @@
   void Abort();
 
 private:
+  // Limits the bytes that wait for the parser, which needs a whole head, chunk header or trailer
+  // section before it goes on; a longer one is refused. Above the parser's limit of a head.
+  static constexpr size_t kMaxUnparsedBytes = 16384;
+
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void ReadRequest();
@@ -61,7 +65,7 @@
 
   const SessionHost& mHost;
   boost::beast::tcp_stream mStream;
-  boost::beast::flat_buffer mBuffer;
+  boost::beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
   std::optional<Parser> mParser;
   uint64_t mRequest = 0; // 0 while no request is open.
   bool mKeepAlive = true;
--- a/modules/http/tests/server_test.cpp
+++ b/modules/http/tests/server_test.cpp
@@ -195,4 +195,27 @@
   }
 }
 
+// Guards against trailers without end, which the server would hold until its memory is full.
+BOOST_FIXTURE_TEST_CASE(ServerEndlessTrailersEndTheConnection, ServerFixture)
+{
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket(context);
+  socket.connect({ boost::asio::ip::make_address(mEndpoint.mAddress), mEndpoint.mPort });
+  std::string bytes = "POST /v1/x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+  while (bytes.size() < size_t{ 1 } << 20) {
+    bytes += "x: y\r\n";
+  }
+  auto ended = std::async(std::launch::async, [&] {
+    boost::system::error_code error;
+    boost::asio::write(socket, boost::asio::buffer(bytes), error);
+    char received[4096];
+    while (!error) {
+      socket.read_some(boost::asio::buffer(received), error);
+    }
+  });
+  BOOST_TEST((ended.wait_for(base::Seconds(20)) == std::future_status::ready));
+  boost::system::error_code ignored;
+  socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+}
+
 }
