Share the descriptors among callers, calls, peers and status connections

Cause: each address accepted without a limit; the only bound was the kernel's, common to all.

Change: ConnectionLimit bounds the connections of each address, by shares of max_descriptors (new; by default the limit of the process). A new connection at the limit closes the one that has been idle for longest, else the one whose request has been arriving for longest; a request that is being answered is never cut off, and with all of them busy the new one gets 503 with Retry-After. At the readiness and metrics addresses, where nothing is passed on, answers that nobody reads yield too. CallSlots bounds the calls in progress, which need a connection to a replica each, and keeps a quarter of them for other services than the one that has most, so that replicas that do not answer do not hold up everyone.

--- a/modules/base/include/sycamore/base/log_event.h
+++ b/modules/base/include/sycamore/base/log_event.h
@@ -37,6 +37,7 @@
   FactHubLost = 207,
   FactHubRecovered = 208,
   FactsDropped = 209,
+  ConnectionsYielded = 210,
   PartitionClaiming = 300,
   PartitionOwned = 301,
   PartitionLost = 302,
--- a/modules/base/src/log_event.cpp
+++ b/modules/base/src/log_event.cpp
@@ -25,6 +25,7 @@
   { LogEvent::FactHubLost, "fact_hub_lost", LogLevel::Warning },
   { LogEvent::FactHubRecovered, "fact_hub_recovered", LogLevel::Info },
   { LogEvent::FactsDropped, "facts_dropped", LogLevel::Warning },
+  { LogEvent::ConnectionsYielded, "connections_yielded", LogLevel::Warning },
   { LogEvent::PartitionClaiming, "partition_claiming", LogLevel::Info },
   { LogEvent::PartitionOwned, "partition_owned", LogLevel::Info },
   { LogEvent::PartitionLost, "partition_lost", LogLevel::Warning },
--- a/modules/gateway/src/call_runner.cpp
+++ b/modules/gateway/src/call_runner.cpp
@@ -112,6 +112,11 @@
 static boost::asio::awaitable<CallOutcome>
 RunResolved(Context& aContext, CallerLink& aLink, Call& aCall)
 {
+  const CallSlots::Hold slot(aContext.mCallSlots, aCall.mServiceName);
+  if (!slot.Granted()) {
+    const base::Error full{ ErrorKind::Overloaded, "too many calls are in progress", "" };
+    co_return co_await SendRefusal(aLink, aCall, full);
+  }
   const QuotaGuard quota(aContext, aCall);
   if (!quota.Verdict().mAllowed) {
     co_return co_await RefuseOverQuota(aLink, aCall, quota.Verdict());
--- a/modules/gateway/src/caller_session.cpp
+++ b/modules/gateway/src/caller_session.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
+#include <sstream>
 #include <sys/socket.h>
 #include <utility>
 
@@ -28,8 +29,9 @@
 // socket with unread bytes sends a reset, which can discard the answer in transit.
 static constexpr Millis kLingerTimeout{ 300 };
 static constexpr size_t kReadSize = 4096;
-// Retry-After time of a request for whose body there is no memory: others end within it.
-static constexpr Millis kRetryAfterShortMemory{ 500 };
+// Retry-After time of a request for which there is no memory or no connection: others end within
+// it.
+static constexpr Millis kRetryAfterShortOfRoom{ 500 };
 
 WholeAnswer
 ErrorAnswer(const base::Error& aError, std::optional<std::chrono::milliseconds> aRetryAfter)
@@ -44,11 +46,29 @@
   return answer;
 }
 
+void
+RefuseConnection(tcp::socket aSocket)
+{
+  boost::system::error_code error;
+  aSocket.non_blocking(true, error);
+  // Closing a socket with unread bytes sends a reset, which can discard the answer in transit.
+  std::array<char, kReadSize> unread;
+  aSocket.read_some(boost::asio::buffer(unread), error);
+  WholeAnswer answer = ErrorAnswer(
+    { base::ErrorKind::Overloaded, "too many connections are open", "" }, kRetryAfterShortOfRoom);
+  answer.keep_alive(false);
+  answer.prepare_payload();
+  std::ostringstream text;
+  text << answer;
+  aSocket.write_some(boost::asio::buffer(text.str()), error);
+}
+
 CallerSession::CallerSession(tcp::socket aSocket,
                              const SessionPolicy& aPolicy,
                              const CallHandler& aHandler)
   : mStream(std::move(aSocket))
   , mPolicy(aPolicy)
+  , mMember(aPolicy.mConnections, [this] { Yield(); })
   , mHandler(aHandler)
 {
 }
@@ -65,6 +85,7 @@
     if (co_await ReadRequest(request, body) != ReadResult::Complete) {
       break;
     }
+    mMember.Enter(ConnectionPhase::Serving);
     ++mCall;
     mKeepAlive = mKeepAlive && request.keep_alive();
     boost::asio::co_spawn(mStream.get_executor(), WatchForClose(self, mCall), LogFailure{});
@@ -111,9 +132,11 @@
 CallerSession::ReadRequest(CallerRequest& aOut, BodyMemory::Hold& aBody)
 {
   const CallerLimits limits = mPolicy.mLimits();
+  mMember.Enter(ConnectionPhase::Idle);
   if (!co_await WaitForBytes(limits.mIdleTimeout)) {
     co_return ReadResult::Closed;
   }
+  mMember.Enter(ConnectionPhase::Reading);
   // The parser needs a whole head, chunk header or trailer section before it goes on, and limits
   // none but the head itself.
   mBuffer.max_size(std::max({ limits.mMaxHeaderBytes, kReadSize, mBuffer.size() }));
@@ -145,7 +168,7 @@
     const base::Error overloaded{ base::ErrorKind::Overloaded,
                                   "too many large bodies are in progress",
                                   "" };
-    WholeAnswer answer = ErrorAnswer(overloaded, kRetryAfterShortMemory);
+    WholeAnswer answer = ErrorAnswer(overloaded, kRetryAfterShortOfRoom);
     co_return co_await AnswerUnread(std::move(answer));
   }
   aOut = parser.release();
@@ -226,6 +249,13 @@
   }
 }
 
+void
+CallerSession::Yield()
+{
+  MarkGone();
+  mStream.close();
+}
+
 void
 CallerSession::SetGoneHandler(std::function<void()> aHandler)
 {
--- a/modules/gateway/src/caller_session.h
+++ b/modules/gateway/src/caller_session.h
@@ -2,6 +2,7 @@
 
 #include "body_memory.h"
 #include "caller_link.h"
+#include "connection_limit.h"
 #include "sycamore/gateway/route_table.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -21,8 +22,13 @@
   std::function<CallerLimits()> mLimits;
   std::function<bool()> mStopping;
   BodyMemory& mBodies;
+  ConnectionLimit& mConnections; // Of the listening address.
 };
 
+// Answers a connection that cannot be served with 503 and closes it. Does not wait for the caller.
+void
+RefuseConnection(boost::asio::ip::tcp::socket aSocket);
+
 // One connection of a caller. Reads and answers one request at a time.
 class CallerSession
   : public CallerLink
@@ -65,10 +71,13 @@
                                                     uint64_t aCall);
   boost::asio::awaitable<void> CloseGracefully();
   void MarkGone();
+  // Closes the connection at once, so that others can be served.
+  void Yield();
 
   boost::beast::tcp_stream mStream;
   boost::beast::flat_buffer mBuffer;
   const SessionPolicy& mPolicy;
+  ConnectionLimit::Member mMember;
   const CallHandler& mHandler;
   std::function<void()> mGoneHandler;
   uint64_t mCall = 0;     // Sequence number of the current request.
--- a/modules/gateway/src/context.h
+++ b/modules/gateway/src/context.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "body_memory.h"
+#include "call_slots.h"
 #include "crash_suspects.h"
+#include "descriptor_shares.h"
 #include "metrics.h"
 #include "program_budgets.h"
 #include "program_logs.h"
@@ -52,7 +54,9 @@
     , mHeaderCodec(aHeaderCodec)
     , mMetrics(aMetrics)
     , mStore(aStore)
+    , mShares(SharesOf(aSettings.mDescriptors > 0 ? aSettings.mDescriptors : DescriptorLimit()))
     , mBodies(aSettings.mMemoryBytes)
+    , mCallSlots(mShares.mCalls)
     , mPool(aExecutor)
     , mPrograms(aExecutor,
                 aStore,
@@ -102,7 +106,9 @@
   const HeaderCodec& mHeaderCodec;
   Metrics& mMetrics;
   StorePaths& mStore;
+  const DescriptorShares mShares;
   BodyMemory mBodies;
+  CallSlots mCallSlots;
   std::string mRegion;
   std::map<std::string, std::string> mRegionOfDomain;
   std::shared_ptr<const RouteTable> mRoutes; // Null until the configuration is known.
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -4,6 +4,7 @@
 #include "async.h"
 #include "call_runner.h"
 #include "caller_session.h"
+#include "connection_limit.h"
 #include "context.h"
 #include "fact_exchange.h"
 #include "measured_store.h"
@@ -80,13 +81,13 @@
       [this](const wire::RelayRequestT& aRequest) { return mFactExchange.Serve(aRequest); },
       [this](const wire::RelayRequestT& aRequest) { return mUsageExchange.Serve(aRequest); }
     }
-    , mPolicy{ [this] { return mContext.mRoutes ? mContext.mRoutes->mLimits : CallerLimits{}; },
-               [this] { return mContext.mStopping; },
-               mContext.mBodies }
-    , mCallers(mLoop)
-    , mPeers(mLoop)
-    , mReadiness(mLoop)
-    , mStatus(mLoop)
+    , mCallers(mLoop, "callers", mContext.mShares.mCallers, ConnectionLimit::Yields::IdleAndReading)
+    , mPeers(mLoop, "peers", mContext.mShares.mPeers, ConnectionLimit::Yields::IdleAndReading)
+    , mReadiness(mLoop, "readiness", mContext.mShares.mStatus, ConnectionLimit::Yields::All)
+    , mStatus(mLoop, "metrics", mContext.mShares.mStatus, ConnectionLimit::Yields::All)
+    , mCallerPolicy(PolicyFor(mCallers))
+    , mReadinessPolicy(PolicyFor(mReadiness))
+    , mStatusPolicy(PolicyFor(mStatus))
   {
     mStore.SetAggregator(mAggregator);
     mStore.OnMembersChanged([this](const std::vector<Member>& aMembers) {
@@ -116,8 +117,27 @@
   void Stop();
 
 private:
-  base::Result<base::Unit> Bind(tcp::acceptor& aAcceptor, const http::Endpoint& aEndpoint);
-  boost::asio::awaitable<void> Accept(tcp::acceptor& aAcceptor, const CallHandler& aHandler);
+  // A listening address.
+  struct Listener
+  {
+    Listener(boost::asio::io_context& aLoop,
+             const char* aName,
+             size_t aMaxConnections,
+             ConnectionLimit::Yields aYields)
+      : mAcceptor(aLoop)
+      , mConnections(aName, aMaxConnections, aYields)
+    {
+    }
+
+    tcp::acceptor mAcceptor;
+    ConnectionLimit mConnections;
+  };
+
+  SessionPolicy PolicyFor(Listener& aListener);
+  static base::Result<base::Unit> Bind(Listener& aListener, const http::Endpoint& aEndpoint);
+  boost::asio::awaitable<void> Accept(Listener& aListener,
+                                      const SessionPolicy& aPolicy,
+                                      const CallHandler& aHandler);
   boost::asio::awaitable<void> AnswerReadiness(CallerLink& aLink, CallerRequest aRequest);
   boost::asio::awaitable<void> AnswerStatus(CallerLink& aLink, CallerRequest aRequest);
   boost::asio::awaitable<void> AcceptPeers();
@@ -149,36 +169,48 @@
   FactExchange mFactExchange;
   UsageExchange mUsageExchange;
   const RelayServices mRelayServices;
-  const SessionPolicy mPolicy;
+  Listener mCallers;
+  Listener mPeers;
+  Listener mReadiness;
+  Listener mStatus; // Metrics and state dump.
+  const SessionPolicy mCallerPolicy;
+  const SessionPolicy mReadinessPolicy;
+  const SessionPolicy mStatusPolicy;
   CallHandler mCallHandler;
   CallHandler mReadinessHandler;
   CallHandler mStatusHandler;
-  tcp::acceptor mCallers;
-  tcp::acceptor mPeers;
-  tcp::acceptor mReadiness;
-  tcp::acceptor mStatus; // Metrics and state dump.
   std::vector<std::weak_ptr<CallerSession>> mSessions;
   std::thread mThread;
   std::atomic<bool> mDrained{ false };
 };
 
+SessionPolicy
+Gateway::Impl::PolicyFor(Listener& aListener)
+{
+  return { [this] { return mContext.mRoutes ? mContext.mRoutes->mLimits : CallerLimits{}; },
+           [this] { return mContext.mStopping; },
+           mContext.mBodies,
+           aListener.mConnections };
+}
+
 base::Result<base::Unit>
-Gateway::Impl::Bind(tcp::acceptor& aAcceptor, const http::Endpoint& aEndpoint)
+Gateway::Impl::Bind(Listener& aListener, const http::Endpoint& aEndpoint)
 {
+  tcp::acceptor& acceptor = aListener.mAcceptor;
   boost::system::error_code error;
   const auto address = boost::asio::ip::make_address(aEndpoint.mAddress, error);
   const tcp::endpoint endpoint(address, aEndpoint.mPort);
   if (!error) {
-    aAcceptor.open(endpoint.protocol(), error);
+    acceptor.open(endpoint.protocol(), error);
   }
   if (!error) {
-    aAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
   }
   if (!error) {
-    aAcceptor.bind(endpoint, error);
+    acceptor.bind(endpoint, error);
   }
   if (!error) {
-    aAcceptor.listen(kListenBacklog, error);
+    acceptor.listen(kListenBacklog, error);
   }
   if (error) {
     return base::Error{ base::ErrorKind::InvalidSettings,
@@ -209,10 +241,10 @@
     if (!base::IsOk(bound)) {
       return bound;
     }
-    Spawn(Accept(mStatus, mStatusHandler));
+    Spawn(Accept(mStatus, mStatusPolicy, mStatusHandler));
   }
-  Spawn(Accept(mCallers, mCallHandler));
-  Spawn(Accept(mReadiness, mReadinessHandler));
+  Spawn(Accept(mCallers, mCallerPolicy, mCallHandler));
+  Spawn(Accept(mReadiness, mReadinessPolicy, mReadinessHandler));
   FollowConfiguration();
   FollowReplicas();
   Spawn(RunPrograms());
@@ -229,10 +261,12 @@
 }
 
 boost::asio::awaitable<void>
-Gateway::Impl::Accept(tcp::acceptor& aAcceptor, const CallHandler& aHandler)
+Gateway::Impl::Accept(Listener& aListener,
+                      const SessionPolicy& aPolicy,
+                      const CallHandler& aHandler)
 {
   for (;;) {
-    auto [error, socket] = co_await aAcceptor.async_accept(kAsTuple);
+    auto [error, socket] = co_await aListener.mAcceptor.async_accept(kAsTuple);
     if (error == boost::asio::error::operation_aborted) {
       co_return; // The process is stopping.
     }
@@ -241,8 +275,12 @@
       co_await SleepFor(kAcceptRetryDelay);
       continue;
     }
-    const auto session = std::make_shared<CallerSession>(std::move(socket), mPolicy, aHandler);
-    if (&aAcceptor == &mCallers) {
+    if (!aListener.mConnections.MakeRoom()) {
+      RefuseConnection(std::move(socket));
+      continue;
+    }
+    const auto session = std::make_shared<CallerSession>(std::move(socket), aPolicy, aHandler);
+    if (&aListener == &mCallers) {
       std::erase_if(mSessions, [](const auto& aSession) { return aSession.expired(); });
       mSessions.push_back(session);
     }
@@ -254,13 +292,16 @@
 Gateway::Impl::AcceptPeers()
 {
   for (;;) {
-    auto [error, socket] = co_await mPeers.async_accept(kAsTuple);
+    auto [error, socket] = co_await mPeers.mAcceptor.async_accept(kAsTuple);
     if (error) {
       base::Log(LogEvent::HttpError, "accept of a peer connection failed: {}", error.message());
       co_await SleepFor(kAcceptRetryDelay);
       continue;
     }
-    boost::asio::co_spawn(mLoop, ServeRelay(std::move(socket), mRelayServices), LogFailure{});
+    if (mPeers.mConnections.MakeRoom()) {
+      boost::asio::co_spawn(
+        mLoop, ServeRelay(std::move(socket), mRelayServices, mPeers.mConnections), LogFailure{});
+    }
   }
 }
 
@@ -318,7 +359,13 @@
   WholeAnswer answer(boost::beast::http::status::ok, 11);
   if (aRequest.target() == "/metrics") {
     answer.set(boost::beast::http::field::content_type, "text/plain; version=0.0.4");
-    answer.body() = mMetrics.Text(GaugesOf(mContext));
+    Gauges gauges = GaugesOf(mContext);
+    gauges.mCallerConnections = mCallers.mConnections.Open();
+    gauges.mPeerConnections = mPeers.mConnections.Open();
+    for (const Listener* listener : { &mCallers, &mPeers, &mReadiness, &mStatus }) {
+      gauges.mYieldedConnections += listener->mConnections.Yielded();
+    }
+    answer.body() = mMetrics.Text(gauges);
   } else if (aRequest.target() == "/dump") {
     answer.set(boost::beast::http::field::content_type, "application/json");
     answer.body() = DumpState(mContext);
@@ -459,7 +506,7 @@
   co_await SleepFor(kDrainNoticePeriod);
   // No request is accepted from here on, since the end of the process could cut it off.
   boost::system::error_code ignored;
-  mCallers.close(ignored);
+  mCallers.mAcceptor.close(ignored);
   for (const auto& weak : mSessions) {
     if (const auto session = weak.lock()) {
       session->CloseAfterCurrentCall();
--- a/modules/gateway/src/metrics.cpp
+++ b/modules/gateway/src/metrics.cpp
@@ -103,6 +103,10 @@
   prometheus::Gauge& mTextBytes{ Gauge("text_bytes", "Texts of turns in memory") };
   prometheus::Gauge& mBodyBytes{ Gauge("body_bytes", "Bodies of calls under way") };
   prometheus::Gauge& mOpen{ Gauge("calls_open", "Calls under way") };
+  prometheus::Gauge& mCallerConnections{ Gauge("connections", "Connections of callers") };
+  prometheus::Gauge& mPeerConnections{ Gauge("peer_connections", "Connections of other gateways") };
+  prometheus::Gauge& mYielded{ Gauge("connections_yielded",
+                                     "Connections closed or refused because of limits so far") };
   prometheus::Gauge& mReady{ Gauge("ready", "1 if new connections are wanted") };
 };
 
@@ -215,6 +219,9 @@
   mImpl->mTextBytes.Set(static_cast<double>(aGauges.mTextBytes));
   mImpl->mBodyBytes.Set(static_cast<double>(aGauges.mBodyBytes));
   mImpl->mOpen.Set(static_cast<double>(aGauges.mCallsOpen));
+  mImpl->mCallerConnections.Set(static_cast<double>(aGauges.mCallerConnections));
+  mImpl->mPeerConnections.Set(static_cast<double>(aGauges.mPeerConnections));
+  mImpl->mYielded.Set(static_cast<double>(aGauges.mYieldedConnections));
   mImpl->mReady.Set(aGauges.mReady ? 1 : 0);
   return prometheus::TextSerializer().Serialize(mImpl->mRegistry.Collect());
 }
--- a/modules/gateway/src/metrics.h
+++ b/modules/gateway/src/metrics.h
@@ -48,6 +48,9 @@
   size_t mTextBytes = 0; // Of the texts of turns in memory.
   size_t mBodyBytes = 0; // Of the requests and answers in progress.
   size_t mCallsOpen = 0;
+  size_t mCallerConnections = 0;
+  size_t mPeerConnections = 0;
+  uint64_t mYieldedConnections = 0; // Closed or refused at all addresses because of limits.
   bool mReady = false;
 };
 
--- a/modules/gateway/src/relay_server.cpp
+++ b/modules/gateway/src/relay_server.cpp
@@ -84,11 +84,15 @@
 }
 
 boost::asio::awaitable<void>
-ServeRelay(boost::asio::ip::tcp::socket aSocket, const RelayServices& aServices)
+ServeRelay(boost::asio::ip::tcp::socket aSocket,
+           const RelayServices& aServices,
+           ConnectionLimit& aConnections)
 {
   boost::beast::tcp_stream stream(std::move(aSocket));
+  ConnectionLimit::Member member(aConnections, [&stream] { stream.close(); });
   EnableDeadPeerDetection(stream.socket(), Millis(kIdleTimeout));
   for (;;) {
+    member.Enter(ConnectionPhase::Idle);
     stream.expires_after(kIdleTimeout);
     const auto frame = co_await ReadFrame(stream);
     if (!frame) {
@@ -99,6 +103,7 @@
       base::Log(base::LogEvent::PeerProtocolError, "malformed relay request from a peer");
       co_return;
     }
+    member.Enter(ConnectionPhase::Serving);
     const wire::RelayResponseT response = co_await Perform(aServices, *request);
     stream.expires_after(kIdleTimeout);
     const bool sent = co_await WriteFrame(stream, FrameResponse(response));
--- a/modules/gateway/src/relay_server.h
+++ b/modules/gateway/src/relay_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection_limit.h"
 #include "sycamore/gateway/log_store.h"
 #include "sycamore/wire/store_relay_generated.h"
 
@@ -29,8 +30,10 @@
 };
 
 // Serves one connection of another gateway, one call at a time, until the connection ends.
-// aServices must outlive it.
+// aServices and aConnections, which counts the connection, must outlive it.
 boost::asio::awaitable<void>
-ServeRelay(boost::asio::ip::tcp::socket aSocket, const RelayServices& aServices);
+ServeRelay(boost::asio::ip::tcp::socket aSocket,
+           const RelayServices& aServices,
+           ConnectionLimit& aConnections);
 
 }
--- a/modules/gateway/tests/gateway_node.h
+++ b/modules/gateway/tests/gateway_node.h
@@ -143,7 +143,7 @@
         mHeld.push_back(std::move(socket)); // As a frozen process: accepted, never read.
         continue;
       }
-      Spawn(ServeRelay(std::move(socket), mServices));
+      Spawn(ServeRelay(std::move(socket), mServices, mConnections));
     }
   }
 
@@ -179,6 +179,7 @@
   accounts::AccountUsage mUsage;
   UsageExchange mUsageExchange;
   const RelayServices mServices;
+  ConnectionLimit mConnections{ "peers", SIZE_MAX, ConnectionLimit::Yields::IdleAndReading };
   bool mStopping = false;
   bool mSilent = false;
   std::vector<boost::asio::ip::tcp::socket> mHeld;
--- a/modules/settings/include/sycamore/settings/settings.h
+++ b/modules/settings/include/sycamore/settings/settings.h
@@ -74,6 +74,7 @@
   base::Millis mDrainLimit{ 120000 };      // Longest graceful shutdown.
   size_t mHistoryCacheBytes = size_t{ 16 } << 20;
   size_t mMemoryBytes = size_t{ 128 } << 20; // Gateway: that the process may use.
+  size_t mDescriptors = 0;                   // Gateway: that the process may use; 0: its limit.
   accounts::QuotaRules mQuota;               // Gateway: of client accounts.
   RevocationSettings mRevocation;            // Gateway.
   size_t mMaxPendingBytes = size_t{ 8 } << 20;
--- a/modules/settings/src/parse.cpp
+++ b/modules/settings/src/parse.cpp
@@ -214,6 +214,7 @@
   size_t memoryMegabytes = aOut.mMemoryBytes / kMegabyte;
   aReader.Integer<size_t>("memory_mb", 16, size_t{ 1 } << 20, memoryMegabytes);
   aOut.mMemoryBytes = memoryMegabytes * kMegabyte;
+  aReader.Integer<size_t>("max_descriptors", 64, size_t{ 1 } << 20, aOut.mDescriptors);
   aReader.Integer<size_t>("max_pending_bytes", kKilobyte, kGigabyte, aOut.mMaxPendingBytes);
   aReader.Integer<size_t>("max_body_bytes", kKilobyte, kGigabyte, aOut.mMaxBodyBytes);
   ReadChoice(aReader, "ordering", kOrderings, aOut.mOrdering);
