Count the heads of requests and what calls take against the memory

Cause: only bodies were counted. A field of four bytes takes about a hundred once it is parsed, twice while the call is at a replica; a call takes 28 KB besides; and an idle connection kept the buffer of its largest request.

Change: BodyMemory becomes MemoryAccount, of which there are several. ReadHead counts the lines that arrive and asks for their memory before it parses them. When the memory is short, connections whose requests have been arriving for longest are closed; if that does not help, the request gets 503 with Retry-After. An idle connection returns its buffer.

--- a/modules/gateway/src/caller_session.cpp
+++ b/modules/gateway/src/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "caller_session.h"
 
 #include "async.h"
+#include "head_reader.h"
 #include "sycamore/base/log.h"
 #include "sycamore/http/error_body.h"
 
@@ -29,6 +30,11 @@
 // socket with unread bytes sends a reset, which can discard the answer in transit.
 static constexpr Millis kLingerTimeout{ 300 };
 static constexpr size_t kReadSize = 4096;
+// Room for the first read of a request; mostly enough for its head.
+static constexpr size_t kFirstReadSize = 1024;
+// What a call takes besides its head and its bodies: the state of its coroutines, and the buffers
+// of its connection to a replica.
+static constexpr size_t kCallBytes = size_t{ 28 } << 10;
 // Retry-After time of a request for which there is no memory or no connection: others end within
 // it.
 static constexpr Millis kRetryAfterShortOfRoom{ 500 };
@@ -69,6 +75,7 @@
   : mStream(std::move(aSocket))
   , mPolicy(aPolicy)
   , mMember(aPolicy.mConnections, [this] { Yield(); })
+  , mRequest(aPolicy.mRequests)
   , mHandler(aHandler)
 {
 }
@@ -81,7 +88,7 @@
   mStream.socket().set_option(tcp::no_delay(true), ignored);
   while (mKeepAlive && !mGone) {
     CallerRequest request;
-    BodyMemory::Hold body(mPolicy.mBodies);
+    MemoryAccount::Hold body(mPolicy.mBodies);
     if (co_await ReadRequest(request, body) != ReadResult::Complete) {
       break;
     }
@@ -91,6 +98,7 @@
     boost::asio::co_spawn(mStream.get_executor(), WatchForClose(self, mCall), LogFailure{});
     co_await mHandler(*this, std::move(request));
     mGoneHandler = nullptr;
+    mRequest.Release();
     if (mStreaming) {
       break; // The answer was truncated.
     }
@@ -122,14 +130,14 @@
   mStream.expires_after(aTimeout);
   mIdle = true;
   const auto [error, bytes] =
-    co_await mStream.async_read_some(mBuffer.prepare(kReadSize), kAsTuple);
+    co_await mStream.async_read_some(mBuffer.prepare(kFirstReadSize), kAsTuple);
   mIdle = false;
   mBuffer.commit(bytes);
   co_return !error;
 }
 
 boost::asio::awaitable<CallerSession::ReadResult>
-CallerSession::ReadRequest(CallerRequest& aOut, BodyMemory::Hold& aBody)
+CallerSession::ReadRequest(CallerRequest& aOut, MemoryAccount::Hold& aBody)
 {
   const CallerLimits limits = mPolicy.mLimits();
   mMember.Enter(ConnectionPhase::Idle);
@@ -144,37 +152,66 @@
   parser.header_limit(static_cast<uint32_t>(limits.mMaxHeaderBytes));
   parser.body_limit(limits.mMaxBodyBytes);
   mStream.expires_after(limits.mHeaderTimeout);
-  auto [error, bytes] = co_await http::async_read_header(mStream, mBuffer, parser, kAsTuple);
-  bool fits = error || aBody.Grow(parser.content_length().value_or(0));
+  boost::system::error_code error = co_await ReadHead(
+    mStream, mBuffer, parser, [this](size_t aBytes) { return GrowRequest(aBytes); });
+  const size_t trailerBytes = parser.chunked() ? mBuffer.max_size() : 0;
+  bool fits = error != boost::system::errc::not_enough_memory;
+  fits = fits && (error || (aBody.Grow(parser.content_length().value_or(0)) &&
+                            GrowRequest(MemoryOf(parser.get()) + trailerBytes)));
   if (!error && fits && boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
     static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-    std::tie(error, bytes) =
+    std::tie(error, std::ignore) =
       co_await boost::asio::async_write(mStream, boost::asio::buffer(kContinue), kAsTuple);
   }
   mStream.expires_after(kBodyTimeout);
   parser.eager(true);
   while (!error && fits && !parser.is_done()) {
-    std::tie(error, bytes) = co_await http::async_read_some(mStream, mBuffer, parser, kAsTuple);
+    std::tie(error, std::ignore) =
+      co_await http::async_read_some(mStream, mBuffer, parser, kAsTuple);
     fits = aBody.Grow(parser.get().body().size());
   }
+  // Trailers are among the fields now. The fields are copied for the replica.
+  fits = fits && (error || GrowRequest(kCallBytes + 2 * MemoryOf(parser.get())));
+  if (!fits) {
+    co_return co_await RejectForMemory();
+  }
   if (error) {
     co_return co_await Reject(error);
   }
-  if (!fits) {
-    base::Log(base::LogEvent::CallRefused,
-              "no memory for the body of a request: bodies={} max={}",
-              mPolicy.mBodies.HeldBytes(),
-              mPolicy.mBodies.MaxBytes());
-    const base::Error overloaded{ base::ErrorKind::Overloaded,
-                                  "too many large bodies are in progress",
-                                  "" };
-    WholeAnswer answer = ErrorAnswer(overloaded, kRetryAfterShortOfRoom);
-    co_return co_await AnswerUnread(std::move(answer));
-  }
   aOut = parser.release();
+  if (mBuffer.size() == 0) {
+    mBuffer.shrink_to_fit(); // The connection may be idle for long after this request.
+  }
   co_return ReadResult::Complete;
 }
 
+bool
+CallerSession::GrowRequest(size_t aBytes)
+{
+  while (!mRequest.Grow(aBytes)) {
+    if (!mPolicy.mConnections.CloseReading(mMember)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+boost::asio::awaitable<CallerSession::ReadResult>
+CallerSession::RejectForMemory()
+{
+  base::Log(base::LogEvent::CallRefused,
+            "no memory for a request: bodies={} of {} requests={} of {}",
+            mPolicy.mBodies.HeldBytes(),
+            mPolicy.mBodies.MaxBytes(),
+            mPolicy.mRequests.HeldBytes(),
+            mPolicy.mRequests.MaxBytes());
+  const base::Error overloaded{ base::ErrorKind::Overloaded,
+                                "too many large requests are in progress",
+                                "" };
+  WholeAnswer answer = ErrorAnswer(overloaded, kRetryAfterShortOfRoom);
+  co_return co_await AnswerUnread(std::move(answer));
+}
+
 static base::Error
 RejectionFor(boost::system::error_code aError)
 {
@@ -254,6 +291,7 @@
 {
   MarkGone();
   mStream.close();
+  mRequest.Release(); // Its memory is free once the cancelled operations have ended.
 }
 
 void
--- a/modules/gateway/src/caller_session.h
+++ b/modules/gateway/src/caller_session.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "body_memory.h"
 #include "caller_link.h"
 #include "connection_limit.h"
+#include "memory_account.h"
 #include "sycamore/gateway/route_table.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -21,7 +21,8 @@
 {
   std::function<CallerLimits()> mLimits;
   std::function<bool()> mStopping;
-  BodyMemory& mBodies;
+  MemoryAccount& mBodies;
+  MemoryAccount& mRequests;      // For heads, and for what a call takes besides its body.
   ConnectionLimit& mConnections; // Of the listening address.
 };
 
@@ -62,8 +63,13 @@
   };
 
   boost::asio::awaitable<bool> WaitForBytes(base::Millis aTimeout);
-  // The request's body counts in aBody.
-  boost::asio::awaitable<ReadResult> ReadRequest(CallerRequest& aOut, BodyMemory::Hold& aBody);
+  // The request's body counts in aBody, the rest of it in mRequest.
+  boost::asio::awaitable<ReadResult> ReadRequest(CallerRequest& aOut, MemoryAccount::Hold& aBody);
+  // Takes aBytes for the current request. If the memory is short, closes connections whose
+  // requests have been arriving for longer. False if it is short all the same.
+  bool GrowRequest(size_t aBytes);
+  // Answers a request for which there is no memory.
+  boost::asio::awaitable<ReadResult> RejectForMemory();
   boost::asio::awaitable<ReadResult> Reject(boost::system::error_code aError);
   // Answers a request that was not read to its end.
   boost::asio::awaitable<ReadResult> AnswerUnread(WholeAnswer aAnswer);
@@ -78,6 +84,7 @@
   boost::beast::flat_buffer mBuffer;
   const SessionPolicy& mPolicy;
   ConnectionLimit::Member mMember;
+  MemoryAccount::Hold mRequest; // What the current request takes besides its body.
   const CallHandler& mHandler;
   std::function<void()> mGoneHandler;
   uint64_t mCall = 0;     // Sequence number of the current request.
--- a/modules/gateway/src/context.h
+++ b/modules/gateway/src/context.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "body_memory.h"
 #include "call_slots.h"
 #include "crash_suspects.h"
 #include "descriptor_shares.h"
+#include "memory_account.h"
+#include "memory_shares.h"
 #include "metrics.h"
 #include "program_budgets.h"
 #include "program_logs.h"
@@ -55,7 +56,10 @@
     , mMetrics(aMetrics)
     , mStore(aStore)
     , mShares(SharesOf(aSettings.mDescriptors > 0 ? aSettings.mDescriptors : DescriptorLimit()))
-    , mBodies(aSettings.mMemoryBytes)
+    , mMemory(MemorySharesOf(aSettings.mMemoryBytes))
+    , mBodies(mMemory.mBodies)
+    , mRequests(mMemory.mRequests)
+    , mStatusRequests(mMemory.mStatus)
     , mCallSlots(mShares.mCalls)
     , mPool(aExecutor)
     , mPrograms(aExecutor,
@@ -107,7 +111,10 @@
   Metrics& mMetrics;
   StorePaths& mStore;
   const DescriptorShares mShares;
-  BodyMemory mBodies;
+  const MemoryShares mMemory;
+  MemoryAccount mBodies;
+  MemoryAccount mRequests;       // Heads, and what calls take besides their bodies.
+  MemoryAccount mStatusRequests; // Of the readiness and metrics addresses, their bodies too.
   CallSlots mCallSlots;
   std::string mRegion;
   std::map<std::string, std::string> mRegionOfDomain;
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -43,6 +43,9 @@
 // Delay after a failed accept, for example for lack of file descriptors.
 static constexpr Millis kAcceptRetryDelay{ 50 };
 static constexpr int kListenBacklog = 512;
+// Longest head, and longest body, of requests to the readiness and metrics addresses, which need
+// neither.
+static constexpr size_t kMaxStatusBytes = 8192;
 // Records kept of a partition for gateways that read them here: those of an aggregator serve
 // gateways that load the history, those of others bridge a change of the aggregator.
 static constexpr size_t kAggregatorKeptBytes = size_t{ 6 } << 20;
@@ -85,9 +88,9 @@
     , mPeers(mLoop, "peers", mContext.mShares.mPeers, ConnectionLimit::Yields::IdleAndReading)
     , mReadiness(mLoop, "readiness", mContext.mShares.mStatus, ConnectionLimit::Yields::All)
     , mStatus(mLoop, "metrics", mContext.mShares.mStatus, ConnectionLimit::Yields::All)
-    , mCallerPolicy(PolicyFor(mCallers))
-    , mReadinessPolicy(PolicyFor(mReadiness))
-    , mStatusPolicy(PolicyFor(mStatus))
+    , mCallerPolicy(CallerPolicy())
+    , mReadinessPolicy(StatusPolicy(mReadiness))
+    , mStatusPolicy(StatusPolicy(mStatus))
   {
     mStore.SetAggregator(mAggregator);
     mStore.OnMembersChanged([this](const std::vector<Member>& aMembers) {
@@ -133,7 +136,8 @@
     ConnectionLimit mConnections;
   };
 
-  SessionPolicy PolicyFor(Listener& aListener);
+  SessionPolicy CallerPolicy();
+  SessionPolicy StatusPolicy(Listener& aListener);
   static base::Result<base::Unit> Bind(Listener& aListener, const http::Endpoint& aEndpoint);
   boost::asio::awaitable<void> Accept(Listener& aListener,
                                       const SessionPolicy& aPolicy,
@@ -185,11 +189,27 @@
 };
 
 SessionPolicy
-Gateway::Impl::PolicyFor(Listener& aListener)
+Gateway::Impl::CallerPolicy()
 {
   return { [this] { return mContext.mRoutes ? mContext.mRoutes->mLimits : CallerLimits{}; },
            [this] { return mContext.mStopping; },
            mContext.mBodies,
+           mContext.mRequests,
+           mCallers.mConnections };
+}
+
+SessionPolicy
+Gateway::Impl::StatusPolicy(Listener& aListener)
+{
+  return { [this] {
+            CallerLimits limits = mContext.mRoutes ? mContext.mRoutes->mLimits : CallerLimits{};
+            limits.mMaxHeaderBytes = std::min(limits.mMaxHeaderBytes, kMaxStatusBytes);
+            limits.mMaxBodyBytes = std::min(limits.mMaxBodyBytes, kMaxStatusBytes);
+            return limits;
+          },
+           [this] { return mContext.mStopping; },
+           mContext.mStatusRequests,
+           mContext.mStatusRequests,
            aListener.mConnections };
 }
 
--- /dev/null
+++ b/modules/gateway/src/memory_shares.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstddef>
+
+namespace sycamore::gateway {
+
+// How the memory of the process is shared among what clients, replicas and other gateways make it
+// hold. Sizes are those of what arrives; copies are taken off.
+struct MemoryShares
+{
+  size_t mBodies = 0;   // Of requests and answers in progress.
+  size_t mRequests = 0; // Heads of requests and answers, and what a call takes besides its bodies.
+  size_t mStatus = 0;   // Requests to the readiness and metrics addresses.
+};
+
+// The shares of aProcessBytes, the memory of the process.
+MemoryShares
+MemorySharesOf(size_t aProcessBytes);
+
+}
--- a/modules/gateway/src/metrics.cpp
+++ b/modules/gateway/src/metrics.cpp
@@ -102,6 +102,8 @@
   prometheus::Gauge& mTurns{ Gauge("turns", "Turns that can be continued") };
   prometheus::Gauge& mTextBytes{ Gauge("text_bytes", "Texts of turns in memory") };
   prometheus::Gauge& mBodyBytes{ Gauge("body_bytes", "Bodies of calls under way") };
+  prometheus::Gauge& mRequestBytes{ Gauge("request_bytes",
+                                          "Heads, and calls under way besides their bodies") };
   prometheus::Gauge& mOpen{ Gauge("calls_open", "Calls under way") };
   prometheus::Gauge& mCallerConnections{ Gauge("connections", "Connections of callers") };
   prometheus::Gauge& mPeerConnections{ Gauge("peer_connections", "Connections of other gateways") };
@@ -218,6 +220,7 @@
   mImpl->mTurns.Set(static_cast<double>(aGauges.mTurns));
   mImpl->mTextBytes.Set(static_cast<double>(aGauges.mTextBytes));
   mImpl->mBodyBytes.Set(static_cast<double>(aGauges.mBodyBytes));
+  mImpl->mRequestBytes.Set(static_cast<double>(aGauges.mRequestBytes));
   mImpl->mOpen.Set(static_cast<double>(aGauges.mCallsOpen));
   mImpl->mCallerConnections.Set(static_cast<double>(aGauges.mCallerConnections));
   mImpl->mPeerConnections.Set(static_cast<double>(aGauges.mPeerConnections));
--- a/modules/gateway/src/metrics.h
+++ b/modules/gateway/src/metrics.h
@@ -45,8 +45,9 @@
   size_t mFacts = 0;           // Own ones and those of other gateways.
   size_t mPrograms = 0;
   size_t mTurns = 0;
-  size_t mTextBytes = 0; // Of the texts of turns in memory.
-  size_t mBodyBytes = 0; // Of the requests and answers in progress.
+  size_t mTextBytes = 0;    // Of the texts of turns in memory.
+  size_t mBodyBytes = 0;    // Of the requests and answers in progress.
+  size_t mRequestBytes = 0; // Of heads, and of calls in progress besides their bodies.
   size_t mCallsOpen = 0;
   size_t mCallerConnections = 0;
   size_t mPeerConnections = 0;
--- a/modules/gateway/src/replica_exchange.cpp
+++ b/modules/gateway/src/replica_exchange.cpp
@@ -384,7 +384,7 @@
 {
   ExchangeResult result;
   result.mAnswer.base() = ForwardedHeader();
-  result.mBody = std::make_shared<BodyMemory::Hold>(mContext.mBodies);
+  result.mBody = std::make_shared<MemoryAccount::Hold>(mContext.mBodies);
   // A length that is told counts at once: of many answers that grow together none would fit.
   size_t bytes = std::min<uint64_t>(mParser->content_length().value_or(0), kMaxWholeAnswerBytes);
   std::string_view piece;
--- a/modules/gateway/src/replica_exchange.h
+++ b/modules/gateway/src/replica_exchange.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "body_memory.h"
 #include "caller_link.h"
 #include "context.h"
+#include "memory_account.h"
 #include "replica_pool.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -44,7 +44,7 @@
   std::string mDetail;                              // For the log.
   std::optional<ReportedLoad> mLoad = std::nullopt; // As reported with the answer.
   BreakStage mBreak = BreakStage::NotBroken;
-  std::shared_ptr<BodyMemory::Hold> mBody = nullptr; // Of mAnswer, if it was read.
+  std::shared_ptr<MemoryAccount::Hold> mBody = nullptr; // Of mAnswer, if it was read.
 };
 
 // Whether the rest of a stream is wanted.
--- a/modules/gateway/src/state_dump.cpp
+++ b/modules/gateway/src/state_dump.cpp
@@ -27,6 +27,7 @@
   gauges.mTurns = aContext.mPrograms.Programs().TurnCount();
   gauges.mTextBytes = aContext.mTexts.CachedBytes();
   gauges.mBodyBytes = aContext.mBodies.HeldBytes();
+  gauges.mRequestBytes = aContext.mRequests.HeldBytes();
   gauges.mCallsOpen = aContext.mCallsOpen;
   gauges.mReady = aContext.Ready();
   return gauges;
--- a/modules/gateway/src/turn_runner.h
+++ b/modules/gateway/src/turn_runner.h
@@ -97,8 +97,8 @@
   std::vector<std::string> mChain;     // The turns that this one continues, the oldest first.
   std::vector<TextReference> mHistory; // Their texts; moved away when these are read.
   std::string mPrompt;
-  BodyMemory::Hold mPromptBody; // Of the turns before, which the request does not carry.
-  BodyMemory::Hold mOutputBody;
+  MemoryAccount::Hold mPromptBody; // Of the turns before, which the request does not carry.
+  MemoryAccount::Hold mOutputBody;
   std::string mPrefixReplica;
   std::shared_ptr<ReservationState> mReservation; // Null before it is started.
   bool mHasHeadroom = false; // The budget had headroom for more turns at the start.
