Keep state under a hash where a program's or a turn's id is long

A caller could end all gateways: 3,000 requests with a program id of 12,000 characters each, answered 500 by their replica, took 200 MB of the 48 that the test allows, and held it until the programs expired. Turns that completed did the same with their attempt ids (113 MB for 3,000 ids of 6,000 characters).

Cause: budgets, the registry of programs, the records that are kept for other gateways and the texts of turns are keyed by the ids as callers choose them, up to the limit of a head; each reservation also wrote the id to the store, from which every gateway read it.

Change: an id longer than 64 bytes is replaced by its hash (BLAKE2b, since callers choose the ids) where state, records and texts name it. A replica still gets what the caller sent. Ids up to 64 bytes, those of the platform among them, stay as they are in records, so that old gateways read them.

The number of programs and turns is still not bounded by a count, only by their expiry.

--- a/modules/gateway/src/call.h
+++ b/modules/gateway/src/call.h
@@ -22,6 +22,7 @@
   const Route* mRoute = nullptr;
   const Service* mService = nullptr; // Null if the table does not describe it.
   std::string mServiceName;
+  std::string mTurnName; // Of the turn that the call completes, for its records; see BoundedName.
   RequestHash mHash;
   base::TimePoint mArrived;
   base::TimePoint mDeadline; // The caller's, or the route's timeout if that is earlier.
--- a/modules/gateway/src/call_runner.cpp
+++ b/modules/gateway/src/call_runner.cpp
@@ -1,6 +1,7 @@
 #include "call_runner.h"
 
 #include "account_access.h"
+#include "bounded_name.h"
 #include "call.h"
 #include "dispatcher.h"
 #include "elapsed.h"
@@ -56,6 +57,11 @@
 ResolveCall(const Context& aContext, Call& aCall)
 {
   aCall.mHead = aContext.mHeaderCodec.DecodeCall(aCall.mRequest);
+  aCall.mTurnName = BoundedName(aCall.mHead.mAttempt);
+  aCall.mHead.mProgram = BoundedName(std::move(aCall.mHead.mProgram));
+  if (aCall.mHead.mPreviousTurn) {
+    aCall.mHead.mPreviousTurn = BoundedName(std::move(*aCall.mHead.mPreviousTurn));
+  }
   aCall.mDeadline = aCall.mArrived + aCall.mHead.mDeadline.value_or(kDefaultDeadline);
   aCall.mTable = aContext.mRoutes;
   if (!aCall.mTable) {
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -433,8 +433,8 @@
 {
   const base::TimePoint begin = base::Clock::now();
   const CallHead& head = mCall.mHead;
-  programs::TurnText text{ head.mAttempt, std::move(mCall.mRequest.body()), mOutput.History() };
-  programs::TurnCompleted turn{ head.mAttempt,
+  programs::TurnText text{ mCall.mTurnName, std::move(mCall.mRequest.body()), mOutput.History() };
+  programs::TurnCompleted turn{ mCall.mTurnName,
                                 head.mProgram,
                                 head.mPreviousTurn.value_or(""),
                                 0, // The block of the program accounts for the tokens.
@@ -463,7 +463,7 @@
   }
   mCall.mTrace.mCommit = Since(begin);
   mContext.mMetrics.NoteCommit(*mCall.mTrace.mCommit);
-  const programs::TextPlaced placed{ head.mAttempt, *textOffset };
+  const programs::TextPlaced placed{ mCall.mTurnName, *textOffset };
   log.AppendDeferred(placed, base::Clock::now() + kBackgroundTimeout);
   co_return true;
 }
