Count the heads of answers and events without an end against the memory

Calls beside them, of another service too, got 503 once the memory for calls was used up.

Cause: the parsed head of an answer, and its copy for the caller, were not counted; an event was, only if its turn is kept; and calls were bounded by descriptors alone, so that one service could take all the memory of calls.

A call whose answer does not fit ends with 502, since it may have run.

--- a/modules/gateway/src/caller_session.cpp
+++ b/modules/gateway/src/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include "async.h"
 #include "head_reader.h"
+#include "memory_shares.h"
 #include "sycamore/base/log.h"
 #include "sycamore/http/error_body.h"
 
@@ -32,9 +33,6 @@
 static constexpr size_t kReadSize = 4096;
 // Room for the first read of a request; mostly enough for its head.
 static constexpr size_t kFirstReadSize = 1024;
-// What a call takes besides its head and its bodies: the state of its coroutines, and the buffers
-// of its connection to a replica.
-static constexpr size_t kCallBytes = size_t{ 28 } << 10;
 // Retry-After time of a request for which there is no memory or no connection: others end within
 // it.
 static constexpr Millis kRetryAfterShortOfRoom{ 500 };
--- a/modules/gateway/src/context.h
+++ b/modules/gateway/src/context.h
@@ -24,6 +24,7 @@
 #include "turn_renewals.h"
 #include "turn_texts.h"
 
+#include <algorithm>
 #include <boost/asio/any_io_executor.hpp>
 #include <map>
 #include <memory>
@@ -61,7 +62,7 @@
     , mRequests(mMemory.mRequests)
     , mStatusRequests(mMemory.mStatus)
     , mFrames(mMemory.mFrames)
-    , mCallSlots(mShares.mCalls)
+    , mCallSlots(std::min(mShares.mCalls, mMemory.mCalls))
     , mPool(aExecutor)
     , mPrograms(aExecutor,
                 aStore,
--- a/modules/gateway/src/memory_shares.cpp
+++ b/modules/gateway/src/memory_shares.cpp
@@ -13,9 +13,13 @@
 MemoryShares
 MemorySharesOf(size_t aProcessBytes)
 {
-  return {
-    aProcessBytes / 2 / kCopies, aProcessBytes / 6, aProcessBytes / 8 / kFrameCopies, kStatusBytes
-  };
+  MemoryShares shares;
+  shares.mBodies = aProcessBytes / 2 / kCopies;
+  shares.mRequests = aProcessBytes / 6;
+  shares.mCalls = shares.mRequests / kCallBytes;
+  shares.mFrames = aProcessBytes / 8 / kFrameCopies;
+  shares.mStatus = kStatusBytes;
+  return shares;
 }
 
 }
--- a/modules/gateway/src/replica_exchange.cpp
+++ b/modules/gateway/src/replica_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "async.h"
 #include "elapsed.h"
+#include "head_reader.h"
 #include "sycamore/base/log.h"
 
 #include <algorithm>
@@ -20,6 +21,8 @@
 static constexpr size_t kPieceSize = 16384;
 // Interim answers and answers to other attempts that are skipped before the exchange fails.
 static constexpr int kMaxSkippedAnswers = 2;
+// The head of an answer is there as it was parsed and as it is passed on.
+static constexpr size_t kHeadCopies = 2;
 // Limit of a body that is skipped; a longer one costs more than a new connection.
 static constexpr size_t kMaxSkippedBytes = 65536;
 // Limit of an answer that is passed on whole and held in memory until then. As long as the longest
@@ -68,6 +71,7 @@
     , mAttempt(aAttempt)
     , mDeadline(aDeadline)
     , mSink(aSink)
+    , mHeadMemory(aContext.mRequests)
   {
     ++mState->mInFlight;
     ++mState->mSentSinceReport;
@@ -100,6 +104,8 @@
   ExchangeResult Interrupted(boost::system::error_code aError, std::string_view aStage) const;
   BreakStage StageOfBreak(boost::system::error_code aError) const;
   ExchangeResult Failed(std::string aDetail) const;
+  // Not the replica's failure. The call may have run.
+  static ExchangeResult ShortOfMemory();
   void NoteLoad();
   void NoteLeaving();
   void NoteRequestLimit();
@@ -116,6 +122,7 @@
   StreamSink* mSink;
   ReplicaConnectionPtr mConnection;
   std::unique_ptr<AnswerParser> mParser;
+  MemoryAccount::Hold mHeadMemory;
   AnswerHead mHead;
   std::array<char, kPieceSize> mPiece{};
   size_t mBodyBytes = 0; // Read so far.
@@ -171,6 +178,12 @@
   return result;
 }
 
+ExchangeResult
+Exchange::ShortOfMemory()
+{
+  return { ExchangeStatus::Failed, true, {}, "too many large answers are in progress" };
+}
+
 boost::asio::awaitable<bool>
 Exchange::Connect()
 {
@@ -204,6 +217,9 @@
   }
   for (int skippedAnswers = 0; skippedAnswers <= kMaxSkippedAnswers; ++skippedAnswers) {
     if (!co_await ReadHeader()) {
+      if (mError == boost::system::errc::not_enough_memory) {
+        co_return ShortOfMemory();
+      }
       co_return Interrupted(mError, "header");
     }
     if (mHead.mAmbiguous) {
@@ -244,8 +260,13 @@
   mBodyBytes = 0;
   mParser->body_limit(boost::none);
   mParser->skip(mRequest.method() == http::verb::head);
-  std::tie(mError, std::ignore) = co_await http::async_read_header(
-    mConnection->mStream, mConnection->mBuffer, *mParser, kAsTuple);
+  mError =
+    co_await ReadHead(mConnection->mStream, mConnection->mBuffer, *mParser, [this](size_t aBytes) {
+      return mHeadMemory.Grow(aBytes);
+    });
+  if (!mError && !mHeadMemory.Grow(kHeadCopies * MemoryOf(mParser->get()))) {
+    mError = make_error_code(boost::system::errc::not_enough_memory);
+  }
   if (mError || mLink.Gone()) {
     co_return false;
   }
@@ -390,10 +411,7 @@
   std::string_view piece;
   do {
     if (!result.mBody->Grow(bytes)) {
-      // Not the replica's failure. The call has run.
-      co_return ExchangeResult{
-        ExchangeStatus::Failed, true, {}, "too many large bodies are in progress"
-      };
+      co_return ShortOfMemory();
     }
     piece = co_await ReadPiece();
     result.mAnswer.body() += piece;
--- a/modules/gateway/src/turn_runner.cpp
+++ b/modules/gateway/src/turn_runner.cpp
@@ -319,7 +319,7 @@
   if (mOutput.Bytes() > kMaxTurnBytes || !mOutput.InSequence()) {
     co_return SinkResult::Unusable;
   }
-  if (KeepsHistory() && (IsTooLong() || !mOutputBody.Grow(mOutput.Bytes()))) {
+  if ((KeepsHistory() && IsTooLong()) || !mOutputBody.Grow(mOutput.Bytes())) {
     co_return SinkResult::Cancel;
   }
   if (events.empty()) {
