Cut log lines at 2 KB

Cause: up to 2,048 lines wait for the writer, and a line had no bound: ids of programs and attempts, reasons and names in it come from callers and replicas, up to the limit of a head. With a reader of the log that stands still, 2,048 lines of one id of 12,000 characters take 25 MB. Not seen as the end of a process; found while looking at lists whose values callers choose.

Change: the text of a line is cut at 2 KB and says so, which bounds the queue to 4 MB.

Evidence: LogLineOfALongTextIsCut fails without the change (12 KB, no mark).

--- a/modules/base/src/log.cpp
+++ b/modules/base/src/log.cpp
@@ -16,8 +16,10 @@
 static std::string sInstance = "-";
 static std::atomic<LogLevel> sLevel{ LogLevel::Info };
 
-// Lines that wait for the writer at most; about half a megabyte.
+// Lines that wait for the writer at most; about half a megabyte, and never more than 4 MB.
 static constexpr size_t kQueuedLines = 2048;
+// A longer text is cut: parts of it may come from callers.
+static constexpr size_t kMaxTextBytes = 2048;
 static constexpr size_t kMostBytesPerWrite = 65536;
 // Longer than a process runs: the queue wakes the writer at each line and at its end.
 static constexpr Seconds kIdleWait{ 30LL * 24 * 3600 };
@@ -78,13 +80,15 @@
 {
   const LogEventInfo& info = InfoFor(aEvent);
   const auto now = std::chrono::time_point_cast<Millis>(std::chrono::system_clock::now());
-  const std::string line = fmt::format("{:%FT%T}Z {} {} E{:03d} {} {}\n",
+  const bool cut = aText.size() > kMaxTextBytes;
+  const std::string line = fmt::format("{:%FT%T}Z {} {} E{:03d} {} {}{}\n",
                                        now,
                                        LevelName(info.mLevel),
                                        sInstance,
                                        static_cast<int>(aEvent),
                                        info.mName,
-                                       aText);
+                                       aText.substr(0, kMaxTextBytes),
+                                       cut ? "... (cut)" : "");
   if (!sQueue) {
     WriteAll(STDERR_FILENO, line);
   } else if (!sQueue->TryPush(line)) {
--- a/modules/base/tests/log_test.cpp
+++ b/modules/base/tests/log_test.cpp
@@ -60,4 +60,19 @@
   BOOST_TEST(CountLines(" end\n") == 400);
 }
 
+// Guards against lines with text that a caller chooses: two thousand of them wait for a writer that
+// nobody reads from, and filled the memory.
+BOOST_FIXTURE_TEST_CASE(LogLineOfALongTextIsCut, LogWriterFixture)
+{
+  {
+    const LogWriter writer;
+    Log(LogEvent::GatewayCall, "begin {}", std::string(12000, 'x'));
+    Log(LogEvent::GatewayCall, "next");
+  }
+  BOOST_TEST(CountLines(" begin ") == 1);
+  BOOST_TEST(CountLines("... (cut)\n") == 1);
+  BOOST_TEST(CountLines(" next\n") == 1);
+  BOOST_TEST(std::ftell(mFile) < 3000);
+}
+
 }
