Fail answers whose status is no status

Callers got the answer of a replica in trouble with status 000 as it was, with its signature, on every kind of route (MIXED); 001, 099, 600 and 999 too. A claim that the call has not run beside such a status was believed: the call went to another replica, and the caller got 503, which promises that it never ran.

Cause: the parser takes any three digits. The gateway looked at 1xx and 2xx and passed the rest on. RFC 9110, section 15, calls numbers outside 100 to 599 invalid.

Change: an exchange fails at such a head before anything of it is used: load, limit, leaving, or "not run". The call may have run: a non-idempotent one and a stream end with 502, an idempotent one is tried at another replica, and a stream that may be resumed goes on as after any failure. The client of modules/http, which sidecars, the log and instance lists use, fails likewise. Looked at and unchanged: the store client takes 200 and 410 alone; the relay between gateways carries no status; health is judged by exchanges.

--- a/modules/gateway/src/replica_exchange.cpp
+++ b/modules/gateway/src/replica_exchange.cpp
@@ -253,6 +253,14 @@
   return !mConnection->mUsedBefore && aSkippedAnswers == 0;
 }
 
+// Whether aNumber can be a status: RFC 9110, section 15, knows no others. The parser takes any
+// three digits.
+static bool
+IsStatus(unsigned aNumber)
+{
+  return aNumber >= 100 && aNumber <= 599;
+}
+
 boost::asio::awaitable<bool>
 Exchange::ReadHeader()
 {
@@ -267,6 +275,10 @@
   if (!mError && !mHeadMemory.Grow(kHeadCopies * MemoryOf(mParser->get()))) {
     mError = make_error_code(boost::system::errc::not_enough_memory);
   }
+  if (!mError && !IsStatus(mParser->get().result_int())) {
+    // Nothing that comes with it is believed, a claim that the call has not run included.
+    mError = http::error::bad_status;
+  }
   if (mError || mLink.Gone()) {
     co_return false;
   }
--- a/modules/http/src/exchange.cpp
+++ b/modules/http/src/exchange.cpp
@@ -15,6 +15,9 @@
 using boost::system::error_code;
 
 static constexpr int kHttpVersion = 11;
+// RFC 9110, section 15, knows no other status. The parser takes any three digits.
+static constexpr unsigned kMinStatus = 100;
+static constexpr unsigned kMaxStatus = 599;
 // Limit of a body that is collected: a server that sends without end would fill the memory. Larger
 // than any answer of the log, a target or a process's state dump.
 static constexpr size_t kMaxCollectedBytes = size_t{ 64 } << 20;
@@ -141,6 +144,10 @@
         return;
       }
       const auto& head = self->mParser.get();
+      if (head.result_int() < kMinStatus || head.result_int() > kMaxStatus) {
+        self->Fail(beast::http::error::bad_status);
+        return;
+      }
       self->mResponse.mStatus = head.result_int();
       self->mResponse.mContentType = head[beast::http::field::content_type];
       const auto after = head[beast::http::field::retry_after];
--- a/modules/http/tests/server_test.cpp
+++ b/modules/http/tests/server_test.cpp
@@ -218,4 +218,28 @@
   socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
 }
 
+// Guards against a number that is no status, which callers of the client would take for an answer:
+// RFC 9110, section 15, knows 100 to 599, and a final answer is none of 1xx.
+BOOST_AUTO_TEST_CASE(ClientAnswerWithInvalidStatusIsAnError)
+{
+  for (const std::string status : { "000", "099", "600", "999" }) {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context,
+                                            { boost::asio::ip::address_v4::loopback(), 0 });
+    const uint16_t port = acceptor.local_endpoint().port();
+    auto served = std::async(std::launch::async, [&] {
+      boost::asio::ip::tcp::socket socket = acceptor.accept();
+      char request[4096];
+      socket.read_some(boost::asio::buffer(request));
+      boost::asio::write(
+        socket, boost::asio::buffer("HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\n"));
+    });
+    Client client({ "127.0.0.1", port }, base::Seconds(20));
+    const auto answer = client.Perform(ClientRequest{});
+    BOOST_REQUIRE(!base::IsOk(answer));
+    BOOST_TEST((base::ErrorOf(answer).mKind == base::ErrorKind::ConnectionLost));
+    served.get();
+  }
+}
+
 }
