Take memory for frames between entries and sidecars as their bytes arrive

Anyone who reached the peer address of an entry or a sidecar could make it take 16 MB with four bytes: the same cause as at the gateways' peer address, in modules/transport.

Change: memory is taken in steps as bytes arrive, and the first frame of a connection, whose sender is unknown, has 256 KB at most.

Evidence: PeerHubLongFirstFrameEndsTheConnection fails without the change. Connections without a hello are closed after the silence limit; their number is still not bounded.

--- a/modules/transport/src/peer_link.cpp
+++ b/modules/transport/src/peer_link.cpp
@@ -10,6 +10,10 @@
 
 // Heartbeats that may be late or lost before a peer counts as silent.
 static constexpr int kMissedHeartbeats = 3;
+// Longest first frame of a connection, whose sender is not known yet.
+static constexpr size_t kMaxHelloBytes = size_t{ 256 } << 10;
+// Memory for a frame is taken in steps of this size, or of what has arrived.
+static constexpr size_t kMinStepBytes = size_t{ 16 } << 10;
 
 PeerLink::PeerLink(LinkId aId,
                    boost::asio::ip::tcp::socket aSocket,
@@ -82,6 +86,11 @@
                               self->Close(base::ErrorOf(length).mMessage);
                               return;
                             }
+                            if (!self->mPeerHello && base::ValueOf(length) > kMaxHelloBytes) {
+                              self->Close("the first frame is too long");
+                              return;
+                            }
+                            self->mBody.clear();
                             self->ReadBody(base::ValueOf(length));
                           });
 }
@@ -89,16 +98,19 @@
 void
 PeerLink::ReadBody(size_t aLength)
 {
-  mBody.resize(aLength);
+  const size_t read = mBody.size();
+  mBody.resize(std::min(aLength, read + std::max(read, kMinStepBytes)));
   boost::asio::async_read(mSocket,
-                          boost::asio::buffer(mBody),
-                          [self = shared_from_this()](const error_code& aCode, size_t aSize) {
+                          boost::asio::buffer(mBody.data() + read, mBody.size() - read),
+                          [self = shared_from_this(), aLength](const error_code& aCode, size_t) {
                             if (aCode) {
                               self->Close(aCode.message());
-                              return;
+                            } else if (self->mBody.size() < aLength) {
+                              self->ReadBody(aLength);
+                            } else {
+                              self->mHost.mCount(0, aLength + wire::kLengthBytes);
+                              self->OnFrame();
                             }
-                            self->mHost.mCount(0, aSize + wire::kLengthBytes);
-                            self->OnFrame();
                           });
 }
 
--- a/modules/transport/src/peer_link.h
+++ b/modules/transport/src/peer_link.h
@@ -57,6 +57,7 @@
 
 private:
   void ReadPrefix();
+  // Reads the rest of a frame of aLength; memory is taken as the bytes arrive.
   void ReadBody(size_t aLength);
   void OnFrame();
   void Write();
--- a/modules/transport/tests/peer_hub_test.cpp
+++ b/modules/transport/tests/peer_hub_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <future>
 
 namespace sycamore::transport {
 
@@ -190,4 +191,28 @@
   BOOST_TEST(server.mEvents.Size() == 0U);
 }
 
+// Guards against anyone who connects, announces the longest frame and makes the process take its
+// memory.
+BOOST_AUTO_TEST_CASE(PeerHubLongFirstFrameEndsTheConnection)
+{
+  PeerHubSettings settings;
+  settings.mSilenceLimit = base::Seconds(600);
+  Peer peer("a", settings);
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket(context);
+  socket.connect({ boost::asio::ip::make_address(peer.mEndpoint.mAddress), peer.mEndpoint.mPort });
+  const std::string length{ 0, 0, 0, 1 }; // 16 MB, the longest frame.
+  boost::asio::write(socket, boost::asio::buffer(length));
+  auto ended = std::async(std::launch::async, [&] {
+    char received[256];
+    boost::system::error_code error;
+    while (!error) {
+      socket.read_some(boost::asio::buffer(received), error);
+    }
+  });
+  BOOST_TEST((ended.wait_for(kLimit) == std::future_status::ready));
+  boost::system::error_code ignored;
+  socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+}
+
 }
