Free what a call takes before its answer is sent

Callers that do not read their answers held a place for a call, 28 KB and a connection each for 10 s, though the call was over and its connection to the replica returned.

Change: the place is returned when the replica has answered, and the memory of the request shrinks to its head and that of the answer while a whole answer is sent. A connection whose answer has not been read for a second yields to a new one, after those that are idle or whose request has not arrived whole.

Evidence: ConnectionLimitWhenFullClosesAStalledWriter covers the order of yielding; adapter_crowds passes.

--- a/modules/gateway/src/call.h
+++ b/modules/gateway/src/call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "call_slots.h"
 #include "call_trace.h"
 #include "caller_link.h"
 #include "request_hash.h"
@@ -30,7 +31,8 @@
   const accounts::Account* mAccount = nullptr; // In mTable; null on a public route.
   std::optional<accounts::KeyDigest> mKey;     // That the caller sent; set with mAccount.
   uint64_t mAccountId = accounts::kUnknownAccount;
-  bool mMayHaveRun = false; // A replica that may have run it has received it.
+  std::optional<CallSlots::Hold> mSlot; // While it may need a connection to a replica.
+  bool mMayHaveRun = false;             // A replica that may have run it has received it.
 
   // The engine of the service; null if it has none, or the table does not describe it.
   const EngineProfile* Engine() const
--- a/modules/gateway/src/call_runner.cpp
+++ b/modules/gateway/src/call_runner.cpp
@@ -118,8 +118,8 @@
 static boost::asio::awaitable<CallOutcome>
 RunResolved(Context& aContext, CallerLink& aLink, Call& aCall)
 {
-  const CallSlots::Hold slot(aContext.mCallSlots, aCall.mServiceName);
-  if (!slot.Granted()) {
+  aCall.mSlot.emplace(aContext.mCallSlots, aCall.mServiceName);
+  if (!aCall.mSlot->Granted()) {
     const base::Error full{ ErrorKind::Overloaded, "too many calls are in progress", "" };
     co_return co_await SendRefusal(aLink, aCall, full);
   }
--- a/modules/gateway/src/caller_session.cpp
+++ b/modules/gateway/src/caller_session.cpp
@@ -169,7 +169,8 @@
     fits = aBody.Grow(parser.get().body().size());
   }
   // Trailers are among the fields now. The fields are copied for the replica.
-  fits = fits && (error || GrowRequest(kCallBytes + 2 * MemoryOf(parser.get())));
+  mHeadBytes = MemoryOf(parser.get());
+  fits = fits && (error || GrowRequest(kCallBytes + 2 * mHeadBytes));
   if (!fits) {
     co_return co_await RejectForMemory();
   }
@@ -307,6 +308,10 @@
   mKeepAlive = mKeepAlive && !mPolicy.mStopping();
   aAnswer.keep_alive(mKeepAlive);
   aAnswer.prepare_payload();
+  // The call has returned its connection to the replica; a caller that does not read must not hold
+  // up others.
+  mMember.Enter(sycamore::http::ConnectionPhase::Writing);
+  mRequest.Shrink(kAnswerBytes + mHeadBytes + MemoryOf(aAnswer));
   mStream.expires_after(kWriteTimeout);
   const auto [error, bytes] = co_await http::async_write(mStream, aAnswer, kAsTuple);
   if (error) {
--- a/modules/gateway/src/caller_session.h
+++ b/modules/gateway/src/caller_session.h
@@ -84,6 +84,7 @@
   boost::beast::flat_buffer mBuffer;
   const SessionPolicy& mPolicy;
   http::ConnectionLimit::Member mMember;
+  size_t mHeadBytes = 0;        // Of the current request.
   MemoryAccount::Hold mRequest; // What the current request takes besides its body.
   const CallHandler& mHandler;
   std::function<void()> mGoneHandler;
--- a/modules/gateway/src/dispatcher.cpp
+++ b/modules/gateway/src/dispatcher.cpp
@@ -359,6 +359,7 @@
       fmt::format("{} replicas are at their request limits", chosen.mLimited);
     result.mAtLimit = true;
   }
+  aCall.mSlot.reset();
   aCall.mTrace.mReplica = Since(begin);
   co_return result;
 }
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -84,11 +84,8 @@
       [this](const wire::RelayRequestT& aRequest) { return mFactExchange.Serve(aRequest); },
       [this](const wire::RelayRequestT& aRequest) { return mUsageExchange.Serve(aRequest); }
     }
-    , mCallers(mLoop,
-               "callers",
-               mContext.mShares.mCallers,
-               http::ConnectionLimit::Yields::IdleAndReading)
-    , mPeers(mLoop, "peers", mContext.mShares.mPeers, http::ConnectionLimit::Yields::IdleAndReading)
+    , mCallers(mLoop, "callers", mContext.mShares.mCallers, http::ConnectionLimit::Yields::Waiting)
+    , mPeers(mLoop, "peers", mContext.mShares.mPeers, http::ConnectionLimit::Yields::Waiting)
     , mReadiness(mLoop, "readiness", mContext.mShares.mStatus, http::ConnectionLimit::Yields::All)
     , mStatus(mLoop, "metrics", mContext.mShares.mStatus, http::ConnectionLimit::Yields::All)
     , mCallerPolicy(CallerPolicy())
--- a/modules/gateway/src/memory_account.cpp
+++ b/modules/gateway/src/memory_account.cpp
@@ -22,10 +22,12 @@
 }
 
 void
-MemoryAccount::Hold::Release()
+MemoryAccount::Hold::Shrink(size_t aBytes)
 {
-  mAccount.mHeld -= mBytes;
-  mBytes = 0;
+  if (aBytes < mBytes) {
+    mAccount.mHeld -= mBytes - aBytes;
+    mBytes = aBytes;
+  }
 }
 
 }
--- a/modules/gateway/src/memory_account.h
+++ b/modules/gateway/src/memory_account.h
@@ -29,8 +29,11 @@
     // effect, if the memory is short.
     bool Grow(size_t aBytes);
 
+    // Lowers the size of the thing to aBytes; a larger size changes nothing.
+    void Shrink(size_t aBytes);
+
     // Returns all of it.
-    void Release();
+    void Release() { Shrink(0); }
 
   private:
     MemoryAccount& mAccount;
--- a/modules/gateway/src/memory_shares.h
+++ b/modules/gateway/src/memory_shares.h
@@ -8,6 +8,9 @@
 // of its connection to a replica.
 inline constexpr size_t kCallBytes = size_t{ 28 } << 10;
 
+// What is left of kCallBytes while the answer, which is complete, is being sent.
+inline constexpr size_t kAnswerBytes = size_t{ 4 } << 10;
+
 // How the memory of the process is shared among what clients, replicas and other gateways make it
 // hold. Sizes are those of what arrives; copies are taken off.
 struct MemoryShares
--- a/modules/gateway/tests/gateway_node.h
+++ b/modules/gateway/tests/gateway_node.h
@@ -180,9 +180,7 @@
   UsageExchange mUsageExchange;
   const RelayServices mServices;
   MemoryAccount mFrames{ SIZE_MAX };
-  http::ConnectionLimit mConnections{ "peers",
-                                      SIZE_MAX,
-                                      http::ConnectionLimit::Yields::IdleAndReading };
+  http::ConnectionLimit mConnections{ "peers", SIZE_MAX, http::ConnectionLimit::Yields::Waiting };
   bool mStopping = false;
   bool mSilent = false;
   std::vector<boost::asio::ip::tcp::socket> mHeld;
--- a/modules/gateway/tests/store_paths_test.cpp
+++ b/modules/gateway/tests/store_paths_test.cpp
@@ -22,9 +22,7 @@
   StorePaths mPeer{ mLoop.get_executor(), std::unique_ptr<LogStore>(mPeerStore), Named("peer") };
   FakeLogStore mNoAggregator;
   MemoryAccount mFrames{ SIZE_MAX };
-  http::ConnectionLimit mConnections{ "peers",
-                                      SIZE_MAX,
-                                      http::ConnectionLimit::Yields::IdleAndReading };
+  http::ConnectionLimit mConnections{ "peers", SIZE_MAX, http::ConnectionLimit::Yields::Waiting };
   const RelayServices mServices{ mPeer.DirectForPeers(),
                                  mNoAggregator,
                                  [] { return false; },
--- a/modules/http/include/sycamore/http/connection_limit.h
+++ b/modules/http/include/sycamore/http/connection_limit.h
@@ -17,6 +17,7 @@
 {
   Idle,    // Waits for a request.
   Reading, // A request has arrived in part.
+  Writing, // The answer of a request, which needs nothing else any more, is being sent.
   Serving, // A request is being answered.
 };
 
@@ -28,7 +29,9 @@
   // What may be closed for the sake of a new connection.
   enum class Yields : uint8_t
   {
-    IdleAndReading,
+    // Connections that wait for their client: idle ones, those whose request has not arrived whole,
+    // and those whose answer has not been read for a second.
+    Waiting,
     All, // Requests whose answers nobody reads too; none of them has been passed on.
   };
 
@@ -52,7 +55,8 @@
     std::weak_ptr<bool> mAlive;
     std::function<void()> mClose;
     ConnectionPhase mPhase = ConnectionPhase::Idle;
-    bool mListed = true; // False once the limit has closed it.
+    base::TimePoint mWritingSince; // Set in that phase.
+    bool mListed = true;           // False once the limit has closed it.
     std::list<Member*>::iterator mPosition;
   };
 
@@ -60,8 +64,8 @@
   ConnectionLimit(std::string aName, size_t aMax, Yields aYields);
 
   // Makes room for a new connection: at the limit closes the connection that has been idle for
-  // longest, else the one whose request has been arriving for longest. False if no connection may
-  // be closed.
+  // longest, else the one whose request has been arriving for longest, else the one whose answer
+  // has not been read for longest. False if no connection may be closed.
   bool MakeRoom();
 
   // Closes the connection, other than aExcept, whose request has been arriving for longest. False
@@ -77,13 +81,15 @@
   std::list<Member*>& Members(ConnectionPhase aPhase);
   // Closes the first member of aPhase other than aExcept.
   bool CloseFirst(ConnectionPhase aPhase, const Member* aExcept);
+  // Whether the client of a member has not read its answer for a while.
+  bool HasStalledWriter();
   // Logs at most one line a second.
   void NoteYield(const char* aWhat);
 
   const std::string mName;
   const size_t mMax;
   const Yields mYields;
-  std::array<std::list<Member*>, 3> mMembers; // By phase, the longest in it first.
+  std::array<std::list<Member*>, 4> mMembers; // By phase, the longest in it first.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
   uint64_t mYielded = 0;
   uint64_t mYieldedSinceLog = 0;
--- a/modules/http/src/connection_limit.cpp
+++ b/modules/http/src/connection_limit.cpp
@@ -7,6 +7,9 @@
 namespace sycamore::http {
 
 static constexpr base::Seconds kLogInterval{ 1 };
+// A client that has read nothing of its answer for this long reads none: the kernel's buffers took
+// all but the longest answers at once.
+static constexpr base::Seconds kStalledWriteAfter{ 1 };
 
 ConnectionLimit::Member::Member(ConnectionLimit& aLimit, std::function<void()> aClose)
   : mLimit(aLimit)
@@ -33,6 +36,9 @@
   auto& members = mLimit.Members(aPhase);
   members.splice(members.end(), mLimit.Members(mPhase), mPosition);
   mPhase = aPhase;
+  if (aPhase == ConnectionPhase::Writing) {
+    mWritingSince = base::Clock::now();
+  }
 }
 
 ConnectionLimit::ConnectionLimit(std::string aName, size_t aMax, Yields aYields)
@@ -65,6 +71,8 @@
     return true;
   }
   if (CloseFirst(ConnectionPhase::Idle, nullptr) || CloseFirst(ConnectionPhase::Reading, nullptr) ||
+      (HasStalledWriter() && CloseFirst(ConnectionPhase::Writing, nullptr)) ||
+      (mYields == Yields::All && CloseFirst(ConnectionPhase::Writing, nullptr)) ||
       (mYields == Yields::All && CloseFirst(ConnectionPhase::Serving, nullptr))) {
     return true;
   }
@@ -72,6 +80,14 @@
   return false;
 }
 
+bool
+ConnectionLimit::HasStalledWriter()
+{
+  const auto& writers = Members(ConnectionPhase::Writing);
+  return !writers.empty() &&
+         base::Clock::now() - writers.front()->mWritingSince > kStalledWriteAfter;
+}
+
 bool
 ConnectionLimit::CloseReading(const Member& aExcept)
 {
@@ -92,7 +108,9 @@
   Member& member = **first;
   members.erase(first);
   member.mListed = false;
-  static constexpr const char* kNames[] = { "closed_idle", "closed_reading", "closed_serving" };
+  static constexpr const char* kNames[] = {
+    "closed_idle", "closed_reading", "closed_writing", "closed_serving"
+  };
   NoteYield(kNames[static_cast<size_t>(aPhase)]);
   member.mClose();
   return true;
--- a/modules/http/src/server.cpp
+++ b/modules/http/src/server.cpp
@@ -25,7 +25,7 @@
   {
     mHost.mLimits = aLimits;
     mHost.mConnections = std::make_shared<ConnectionLimit>(
-      "http", aLimits.mMaxConnections, ConnectionLimit::Yields::IdleAndReading);
+      "http", aLimits.mMaxConnections, ConnectionLimit::Yields::Waiting);
     mHost.mOnRequest = std::move(aHandlers.mOnRequest);
     mHost.mOnClosed = std::move(aHandlers.mOnClosed);
     mHost.mOpenRequest = [this](std::shared_ptr<ServerSession> aSession) {
--- a/modules/http/tests/connection_limit_test.cpp
+++ b/modules/http/tests/connection_limit_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace sycamore::http {
@@ -12,7 +13,7 @@
 {
   static constexpr size_t kMax = 3;
 
-  ConnectionLimit mLimit{ "test", kMax, ConnectionLimit::Yields::IdleAndReading };
+  ConnectionLimit mLimit{ "test", kMax, ConnectionLimit::Yields::Waiting };
   std::string mClosed; // Names of the connections that the limit closed.
   std::vector<std::unique_ptr<ConnectionLimit::Member>> mMembers;
 
@@ -62,6 +63,22 @@
   BOOST_TEST(mClosed == "2");
 }
 
+// Guards against clients that do not read their answers and keep new ones out, and against the
+// close of one that has just begun to be sent.
+BOOST_FIXTURE_TEST_CASE(ConnectionLimitWhenFullClosesAStalledWriter, ConnectionLimitFixture)
+{
+  Open('w', ConnectionPhase::Writing);
+  Open('s', ConnectionPhase::Serving);
+  Open('t', ConnectionPhase::Serving);
+  BOOST_TEST(!mLimit.MakeRoom());
+  BOOST_TEST(mClosed == "");
+  const base::TimePoint end = base::Clock::now() + base::Seconds(20);
+  while (!mLimit.MakeRoom() && base::Clock::now() < end) {
+    std::this_thread::yield();
+  }
+  BOOST_TEST(mClosed == "w");
+}
+
 // Guards against an answer that nobody reads and that keeps the balancer's check out.
 BOOST_FIXTURE_TEST_CASE(ConnectionLimitThatYieldsAllClosesServing, ConnectionLimitFixture)
 {
