Let the places of calls end after their account

Found while reading the change: the coroutines of calls in progress are destroyed with the event loop, after CallSlots, whose map their places then searched: undefined behaviour at the end of a process with open calls.

Change: the places share the state of CallSlots. The header of ConnectionLimit stands in its place, and libsodium is initialized before its first hash.

Evidence: CallSlotsHoldsMayEndAfterTheSlots; no crash was seen before.

--- a/modules/gateway/src/bounded_name.cpp
+++ b/modules/gateway/src/bounded_name.cpp
@@ -14,6 +14,7 @@
   if (aName.size() <= kMaxNameBytes) {
     return aName;
   }
+  [[maybe_unused]] static const int kInitialized = sodium_init();
   // Callers choose names: a hash without resistance to collisions would let one take the budget of
   // another one's program.
   std::array<unsigned char, kDigestBytes> digest{};
--- a/modules/gateway/src/call_slots.cpp
+++ b/modules/gateway/src/call_slots.cpp
@@ -5,36 +5,35 @@
 namespace sycamore::gateway {
 
 CallSlots::Hold::Hold(CallSlots& aSlots, const std::string& aService)
-  : mSlots(aSlots)
+  : mOpen(aSlots.Take(aService))
   , mService(aService)
-  , mGranted(aSlots.Take(aService))
 {
 }
 
 CallSlots::Hold::~Hold()
 {
-  if (!mGranted) {
+  if (!mOpen) {
     return;
   }
-  --mSlots.mOpen;
-  const auto service = mSlots.mOpenByService.find(mService);
+  --mOpen->mCalls;
+  const auto service = mOpen->mByService.find(mService);
   if (--service->second == 0) {
-    mSlots.mOpenByService.erase(service);
+    mOpen->mByService.erase(service);
   }
 }
 
-bool
+std::shared_ptr<CallSlots::Open>
 CallSlots::Take(const std::string& aService)
 {
   const size_t maxOfService = std::max<size_t>(mMax - mMax / 4, 1);
-  const auto service = mOpenByService.find(aService);
-  const size_t ofService = service == mOpenByService.end() ? 0 : service->second;
-  if (mOpen >= mMax || ofService >= maxOfService) {
-    return false;
+  const auto service = mOpen->mByService.find(aService);
+  const size_t ofService = service == mOpen->mByService.end() ? 0 : service->second;
+  if (mOpen->mCalls >= mMax || ofService >= maxOfService) {
+    return nullptr;
   }
-  ++mOpen;
-  ++mOpenByService[aService];
-  return true;
+  ++mOpen->mCalls;
+  ++mOpen->mByService[aService];
+  return mOpen;
 }
 
 }
--- a/modules/gateway/src/call_slots.h
+++ b/modules/gateway/src/call_slots.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace sycamore::gateway {
@@ -11,23 +12,29 @@
 // callers. Lives on one event loop.
 class CallSlots
 {
+  // The calls in progress.
+  struct Open
+  {
+    size_t mCalls = 0;
+    std::map<std::string, size_t> mByService; // Without services that have no call.
+  };
+
 public:
   // The place of one call, returned when it is destroyed.
   class Hold
   {
   public:
-    // Takes a place if there is one. aSlots outlives this object.
+    // Takes a place if there is one. May outlive aSlots: calls end later, with their event loop.
     Hold(CallSlots& aSlots, const std::string& aService);
     ~Hold();
     Hold(const Hold&) = delete;
     Hold& operator=(const Hold&) = delete;
 
-    bool Granted() const { return mGranted; }
+    bool Granted() const { return mOpen != nullptr; }
 
   private:
-    CallSlots& mSlots;
+    const std::shared_ptr<Open> mOpen; // Of the slots; null if there was no place.
     const std::string mService;
-    bool mGranted;
   };
 
   explicit CallSlots(size_t aMax)
@@ -36,11 +43,11 @@
   }
 
 private:
-  bool Take(const std::string& aService);
+  // Takes a place; null if there is none.
+  std::shared_ptr<Open> Take(const std::string& aService);
 
   const size_t mMax;
-  size_t mOpen = 0;
-  std::map<std::string, size_t> mOpenByService; // Without services that have no call.
+  const std::shared_ptr<Open> mOpen = std::make_shared<Open>();
 };
 
 }
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -1,5 +1,4 @@
 #include "sycamore/gateway/gateway.h"
-#include "sycamore/http/connection_limit.h"
 
 #include "aggregator.h"
 #include "async.h"
@@ -14,6 +13,7 @@
 #include "stream_follower.h"
 #include "sycamore/base/log.h"
 #include "sycamore/base/random.h"
+#include "sycamore/http/connection_limit.h"
 #include "sycamore/programs/record_age.h"
 #include "usage_exchange.h"
 
--- a/modules/gateway/tests/call_slots_test.cpp
+++ b/modules/gateway/tests/call_slots_test.cpp
@@ -27,4 +27,14 @@
   BOOST_TEST(take("hanging"));
 }
 
+// Guards against a process that crashes at its end: the calls in progress end after the slots.
+BOOST_AUTO_TEST_CASE(CallSlotsHoldsMayEndAfterTheSlots)
+{
+  auto slots = std::make_unique<CallSlots>(8);
+  auto hold = std::make_unique<CallSlots::Hold>(*slots, "service");
+  slots.reset();
+  BOOST_TEST(hold->Granted());
+  hold.reset();
+}
+
 }
